--- a/cmd/dotterelnode/main.go
+++ b/cmd/dotterelnode/main.go
@@ -13,10 +13,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-logr/logr"
-	"github.com/go-logr/logr/funcr"
-
 	"github.com/dotterelseam/dotterelseam/internal/daemon"
+	"github.com/dotterelseam/dotterelseam/internal/logging"
 	"github.com/dotterelseam/dotterelseam/node"
 	"github.com/dotterelseam/dotterelseam/settings"
 )
@@ -45,7 +43,7 @@
 }
 
 func run(s *settings.Settings) int {
-	log := newLogger(s.LogLevel)
+	log := logging.New(os.Stderr, s.LogLevel)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		log.Error(err, "start_failed")
@@ -77,22 +75,3 @@
 	}
 	return err
 }
-
-// newLogger writes one line of key=value pairs for each event to standard error.
-func newLogger(level settings.LogLevel) logr.Logger {
-	verbosity := 0
-	if level == settings.LogDebug {
-		verbosity = 1
-	}
-	write := func(_, args string) { fmt.Fprintln(os.Stderr, args) }
-	log := funcr.New(write, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
-	if level == settings.LogError {
-		return logr.New(errorsOnly{log.GetSink()})
-	}
-	return log
-}
-
-// errorsOnly is a sink that drops informational events.
-type errorsOnly struct{ logr.LogSink }
-
-func (errorsOnly) Enabled(int) bool { return false }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -44,6 +44,7 @@
 
 	workspaces map[string]*Workspace
 	services   map[string]*http.ServeMux
+	hosted     *hosted // nil unless made by NewHosted
 }
 
 // Decode checks an encoded document as a whole and returns it as a snapshot.
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,310 @@
+// Package directory knows the endpoints of all nodes through rows of the store:
+// each node writes its own row when its backend server changes, and follows the
+// changes of the others. While the store is away, the last known rows hold.
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/pause"
+	"github.com/dotterelseam/dotterelseam/store"
+)
+
+// RowPrefix begins the keys of the nodes' rows.
+const RowPrefix = "endpoint/"
+
+const (
+	// watchWait is how long one call waits for a change of the rows.
+	watchWait = 25 * time.Second
+	// settleTime is the pause after a change, so that several changes in a row
+	// cost one call.
+	settleTime = 150 * time.Millisecond
+	// retryTime bounds the random pause after a failed call to the store.
+	retryTime = 600 * time.Millisecond
+	// writeLimit bounds one write of the node's own row.
+	writeLimit = 2 * time.Second
+)
+
+// Config describes a Directory. All fields are required.
+type Config struct {
+	Node  string
+	Table store.Table
+	Log   logr.Logger
+}
+
+// Directory implements node.Directory. It is safe for concurrent use.
+type Directory struct {
+	cfg Config
+
+	mu        sync.Mutex
+	rows      map[string]entry               // by node
+	byService map[string][]balancer.Endpoint // replaced, never changed
+	watchers  []func(service string)
+	own       *balancer.Endpoint // what the own row is to say; nil: no backend server
+	changed   chan struct{}      // has a value when own differs from the row
+	watching  bool               // the store answered the latest call
+}
+
+type entry struct {
+	revision uint64
+	endpoint balancer.Endpoint
+}
+
+// New returns an empty Directory. Run keeps it up to date.
+func New(cfg Config) *Directory {
+	return &Directory{
+		cfg: cfg, rows: map[string]entry{}, byService: map[string][]balancer.Endpoint{},
+		changed: make(chan struct{}, 1), watching: true,
+	}
+}
+
+// Endpoints implements node.Directory.
+func (d *Directory) Endpoints(service string) []balancer.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byService[service]
+}
+
+// Watch implements node.Directory.
+func (d *Directory) Watch(f func(service string)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watchers = append(d.watchers, f)
+}
+
+// Nodes returns the number of nodes that have a row, at least 1.
+func (d *Directory) Nodes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(len(d.rows), 1)
+}
+
+// Announce implements node.Directory. Without a backend server the row stays
+// and names none that serves.
+func (d *Directory) Announce(e *balancer.Endpoint) {
+	d.mu.Lock()
+	switch {
+	case e != nil:
+		own := *e
+		d.own = &own
+	case d.own != nil:
+		own := *d.own
+		own.State = balancer.Starting
+		d.own = &own
+	}
+	own := d.own
+	d.mu.Unlock()
+	if own == nil {
+		return
+	}
+	// The node's own view does not wait for the store.
+	d.apply([]store.Row{}, own)
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes the own row and follows the others until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { d.write(ctx) })
+	parts.Go(func() { d.follow(ctx) })
+	parts.Wait()
+}
+
+// Leave removes the own row. The error tells why it stays; then the other nodes
+// find the node gone by their failing calls.
+func (d *Directory) Leave(ctx context.Context) error {
+	d.mu.Lock()
+	d.own = nil
+	d.mu.Unlock()
+	key := RowPrefix + d.cfg.Node
+	row, err := d.cfg.Table.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	return d.cfg.Table.Remove(ctx, key, row.Version)
+}
+
+// write keeps the own row at what Announce said last.
+func (d *Directory) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.changed:
+		}
+		for !d.writeOwn(ctx) {
+			if !pause.For(ctx, retryTime/2+rand.N(retryTime/2)) {
+				return
+			}
+		}
+	}
+}
+
+// writeOwn writes the own row once and reports whether it is up to date.
+func (d *Directory) writeOwn(ctx context.Context) bool {
+	d.mu.Lock()
+	own := d.own
+	d.mu.Unlock()
+	if own == nil {
+		return true
+	}
+	value, err := cbor.Marshal(own)
+	if err != nil {
+		d.cfg.Log.Error(err, "endpoint_not_encoded")
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
+	key := RowPrefix + d.cfg.Node
+	version := uint64(0)
+	row, err := d.cfg.Table.Get(ctx, key)
+	switch {
+	case err == nil:
+		version = row.Version
+	case !store.ErrNotFound.Has(err):
+		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
+		return false
+	}
+	if _, err := d.cfg.Table.Put(ctx, key, version, value); err != nil {
+		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
+		return false
+	}
+	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", version+1)
+	return true
+}
+
+// follow applies the changes of all rows.
+func (d *Directory) follow(ctx context.Context) {
+	var revision uint64
+	synced := false
+	for ctx.Err() == nil {
+		var changes store.Changes
+		var err error
+		if synced {
+			changes, err = d.cfg.Table.Watch(ctx, revision, watchWait)
+		} else {
+			changes, err = d.cfg.Table.Snapshot(ctx, RowPrefix)
+		}
+		switch {
+		case store.ErrCompacted.Has(err):
+			synced = false
+			continue
+		case err != nil:
+			d.reachable(false, err)
+			synced = false // changes in between may be lost to compaction
+			pause.For(ctx, retryTime/2+rand.N(retryTime/2))
+			continue
+		}
+		d.reachable(true, nil)
+		if !synced {
+			changes.Rows = append(changes.Rows, d.missing(changes)...)
+		}
+		revision, synced = changes.Revision, true
+		d.apply(changes.Rows, nil)
+		if len(changes.Rows) > 0 {
+			pause.For(ctx, settleTime)
+		}
+	}
+}
+
+// missing returns removals for the known rows that a snapshot does not hold.
+func (d *Directory) missing(snapshot store.Changes) []store.Row {
+	present := map[string]bool{}
+	for _, row := range snapshot.Rows {
+		present[row.Key] = true
+	}
+	var gone []store.Row
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for node, e := range d.rows {
+		if key := RowPrefix + node; !present[key] && e.revision <= snapshot.Revision && e.revision > 0 {
+			gone = append(gone, store.Row{Key: key, Revision: snapshot.Revision, Deleted: true})
+		}
+	}
+	return gone
+}
+
+// apply takes over changed rows, and the node's own endpoint if it is not nil.
+func (d *Directory) apply(rows []store.Row, own *balancer.Endpoint) {
+	d.mu.Lock()
+	before := d.byService
+	for _, row := range rows {
+		d.applyRow(row)
+	}
+	if own != nil {
+		d.rows[d.cfg.Node] = entry{revision: d.rows[d.cfg.Node].revision, endpoint: *own}
+	}
+	next := map[string][]balancer.Endpoint{}
+	for _, e := range d.rows {
+		next[e.endpoint.Service] = append(next[e.endpoint.Service], e.endpoint)
+	}
+	d.byService = next
+	watchers := d.watchers
+	d.mu.Unlock()
+	for service := range next {
+		notify(watchers, service)
+	}
+	for service := range before {
+		if _, still := next[service]; !still {
+			notify(watchers, service)
+		}
+	}
+}
+
+func notify(watchers []func(string), service string) {
+	for _, f := range watchers {
+		f(service)
+	}
+}
+
+// applyRow takes over one row, which may be older than what is known.
+func (d *Directory) applyRow(row store.Row) {
+	node, ok := strings.CutPrefix(row.Key, RowPrefix)
+	if !ok || row.Revision < d.rows[node].revision {
+		return
+	}
+	if node == d.cfg.Node && d.own != nil {
+		d.rows[node] = entry{revision: row.Revision, endpoint: *d.own}
+		return
+	}
+	if row.Deleted {
+		if _, known := d.rows[node]; known {
+			delete(d.rows, node)
+			d.cfg.Log.Info("node_removed", "node", node, "revision", row.Revision)
+		}
+		return
+	}
+	var e balancer.Endpoint
+	if err := cbor.Unmarshal(row.Value, &e); err != nil {
+		d.cfg.Log.Info("endpoint_unreadable", "node", node, "error", err.Error())
+		return
+	}
+	d.rows[node] = entry{revision: row.Revision, endpoint: e}
+	d.cfg.Log.Info("endpoint_known", "node", node, "service", e.Service, "state", int(e.State), "revision", row.Revision)
+}
+
+// reachable logs when the store is lost and when it is regained.
+func (d *Directory) reachable(up bool, err error) {
+	d.mu.Lock()
+	before := d.watching
+	d.watching = up
+	d.mu.Unlock()
+	switch {
+	case before == up:
+	case up:
+		d.cfg.Log.Info("store_regained", "what", "endpoints")
+	default:
+		d.cfg.Log.Info("store_lost", "what", "endpoints", "error", err.Error())
+	}
+}
--- a/distribution/distribution.go
+++ b/distribution/distribution.go
@@ -16,8 +16,8 @@
 	"github.com/dotterelseam/dotterelseam/gossip"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/publish"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // Class groups the errors of this package.
@@ -33,7 +33,7 @@
 
 // Platform is the part of the platform client that this package uses.
 type Platform interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
+	Get(ctx context.Context, key string) (store.Row, error)
 	GetObject(ctx context.Context, digest string) ([]byte, error)
 }
 
@@ -233,7 +233,7 @@
 // as read.
 func (d *Distribution) readRow(ctx context.Context) error {
 	row, err := d.cfg.Platform.Get(ctx, publish.RowKey)
-	if platform.ErrNotFound.Has(err) {
+	if store.ErrNotFound.Has(err) {
 		return nil
 	}
 	if err != nil {
@@ -255,7 +255,7 @@
 	wait := retryPause
 	for {
 		err := d.readRow(ctx)
-		if err != nil && platform.IsOutage(err) {
+		if err != nil && store.IsOutage(err) {
 			err = d.askPeers(ctx)
 		}
 		if err == nil {
--- /dev/null
+++ b/distribution/follower.go
@@ -0,0 +1,149 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/internal/pause"
+)
+
+const (
+	// followWait is how long one call waits for a change of the configuration.
+	followWait = 25 * time.Second
+	// followBackoff bounds the random pause after a failed call. It is well below
+	// the time in which a change has to be in force.
+	followBackoff = 500 * time.Millisecond
+)
+
+// Source holds a configuration under rising versions, which others write.
+type Source interface {
+	// Read returns the newest configuration, encoded, and the revision from which
+	// Watch continues; nil if there is none yet.
+	Read(ctx context.Context) (raw []byte, revision uint64, err error)
+	// Watch returns the newest configuration after a revision, or nil if none
+	// came within the time to wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (raw []byte, revision uint64, err error)
+	// Lost reports whether the error means that the changes after the revision
+	// are not kept any more.
+	Lost(err error) bool
+	// Decode returns an encoded configuration.
+	Decode(raw []byte) (*config.Snapshot, error)
+}
+
+// Follower keeps the newest configuration of a Source in force. A version in
+// force is never replaced by a lower one. It is safe for concurrent use.
+type Follower struct {
+	source Source
+	log    logr.Logger
+
+	applying sync.Mutex // serialises changes of current
+	current  atomic.Pointer[followed]
+	watchers []func(*config.Snapshot)
+	up       atomic.Bool
+}
+
+// followed is a configuration with the form in which it is passed on.
+type followed struct {
+	snapshot *config.Snapshot
+	raw      []byte
+}
+
+// NewFollower returns a Follower without a configuration.
+func NewFollower(source Source, log logr.Logger) *Follower {
+	f := &Follower{source: source, log: log}
+	f.up.Store(true)
+	return f
+}
+
+// Current returns the snapshot in force, or nil before the first one.
+func (f *Follower) Current() *config.Snapshot {
+	if c := f.current.Load(); c != nil {
+		return c.snapshot
+	}
+	return nil
+}
+
+// Encoded returns the configuration in force as the Source holds it, or nil.
+func (f *Follower) Encoded() []byte {
+	if c := f.current.Load(); c != nil {
+		return c.raw
+	}
+	return nil
+}
+
+// Watch calls w after each change. It must be called before Run.
+func (f *Follower) Watch(w func(*config.Snapshot)) { f.watchers = append(f.watchers, w) }
+
+// Run follows the source until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var revision uint64
+	synced := false
+	for ctx.Err() == nil {
+		raw, next, err := f.next(ctx, revision, synced)
+		switch {
+		case err != nil && f.source.Lost(err):
+			synced = false
+			continue
+		case err != nil:
+			f.reachable(false, err)
+			pause.For(ctx, followBackoff/2+rand.N(followBackoff/2))
+			continue
+		}
+		f.reachable(true, nil)
+		revision = next
+		synced = true
+		if raw != nil {
+			f.Offer(raw, "store")
+		}
+	}
+}
+
+func (f *Follower) next(ctx context.Context, revision uint64, synced bool) ([]byte, uint64, error) {
+	if !synced {
+		return f.source.Read(ctx)
+	}
+	return f.source.Watch(ctx, revision, followWait)
+}
+
+// Offer puts an encoded configuration into force if its version is above the
+// present one. from tells where it came from. An unreadable one is logged and
+// left aside.
+func (f *Follower) Offer(raw []byte, from string) {
+	s, err := f.source.Decode(raw)
+	if err != nil {
+		f.log.Error(err, "configuration_unreadable", "from", from, "bytes", len(raw))
+		return
+	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	before := uint64(0)
+	if old := f.current.Load(); old != nil {
+		before = old.snapshot.Version
+	}
+	if s.Version <= before {
+		return
+	}
+	f.current.Store(&followed{snapshot: s, raw: raw})
+	f.log.Info("configuration_applied", "version", s.Version, "before", before, "from", from, "bytes", len(raw))
+	for _, w := range f.watchers {
+		w(s)
+	}
+}
+
+// reachable logs when the source is lost and when it is regained.
+func (f *Follower) reachable(up bool, err error) {
+	if f.up.Swap(up) == up {
+		return
+	}
+	if up {
+		f.log.Info("store_regained", "what", "configuration")
+		return
+	}
+	f.log.Info("store_lost", "what", "configuration", "error", err.Error())
+}
--- /dev/null
+++ b/edge/announcement.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/refusal"
+)
+
+// Announcement is what the backend server on this host posts to /v1/announce
+// on the local listener, at least once a second.
+type Announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"` // ip:port
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"` // "starting", "serving" or "draining"
+	ColdStartMS int64  `json:"cold_start_ms"`
+	Instance    string `json:"instance,omitempty"` // ID of the backend server
+	// Started and Sequence order announcements that may arrive late: the start of
+	// the backend server, Unix milliseconds, and a number that rises with each
+	// announcement of one start. Both are 0 if the server does not state them.
+	Started  int64  `json:"started,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// States are the states that an announcement may name.
+var States = map[string]balancer.State{
+	"starting": balancer.Starting, "serving": balancer.Serving, "draining": balancer.Draining,
+}
+
+// Check returns a refusal if the announcement is not valid.
+func (a *Announcement) Check() *refusal.Refusal {
+	_, known := States[a.State]
+	_, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Service == "":
+		return refusal.New(refusal.BadRequest, "announcement: service is missing")
+	case err != nil:
+		return refusal.New(refusal.BadRequest, "announcement: address: %v", err)
+	case a.Slots < 1 || a.Connections < 1:
+		return refusal.New(refusal.BadRequest, "announcement: slots %d and connections %d must be positive", a.Slots, a.Connections)
+	case !known:
+		return refusal.New(refusal.BadRequest, "announcement: state %q does not exist", a.State)
+	case a.ColdStartMS < 0:
+		return refusal.New(refusal.BadRequest, "announcement: cold_start_ms is negative")
+	}
+	return nil
+}
+
+// ColdStart returns how long the backend server is slow after its start.
+func (a *Announcement) ColdStart() time.Duration {
+	return time.Duration(a.ColdStartMS) * time.Millisecond
+}
--- a/examples/embed/table.go
+++ b/examples/embed/table.go
@@ -5,48 +5,48 @@
 	"strings"
 	"sync"
 
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // table is the lease.Table of a service with one process: its rows need not
 // outlive it.
 type table struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]store.Row
 	revision uint64
 }
 
-func newTable() *table { return &table{rows: map[string]platform.Row{}} }
+func newTable() *table { return &table{rows: map[string]store.Row{}} }
 
-// Get returns a row, or an error of class platform.ErrNotFound.
-func (t *table) Get(_ context.Context, key string) (platform.Row, error) {
+// Get returns a row, or an error of class store.ErrNotFound.
+func (t *table) Get(_ context.Context, key string) (store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound.New("row %s", key)
+		return store.Row{}, store.ErrNotFound.New("row %s", key)
 	}
 	return row, nil
 }
 
 // Put writes a row of the given version, or returns an error of class
-// platform.ErrConflict.
+// store.ErrConflict.
 func (t *table) Put(_ context.Context, key string, ifVersion uint64, value []byte) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.rows[key].Version != ifVersion {
-		return 0, platform.ErrConflict.New("row %s", key)
+		return 0, store.ErrConflict.New("row %s", key)
 	}
 	t.revision++
-	t.rows[key] = platform.Row{Key: key, Version: ifVersion + 1, Revision: t.revision, Value: value}
+	t.rows[key] = store.Row{Key: key, Version: ifVersion + 1, Revision: t.revision, Value: value}
 	return ifVersion + 1, nil
 }
 
 // List returns the rows with a prefix that were written after a revision.
-func (t *table) List(_ context.Context, prefix string, after uint64) ([]platform.Row, error) {
+func (t *table) List(_ context.Context, prefix string, after uint64) ([]store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []store.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && row.Revision > after {
 			rows = append(rows, row)
@@ -60,5 +60,5 @@
 
 // Call returns an error, because there is no other process.
 func (nobody) Call(_ context.Context, node, _ string, _, _ any) error {
-	return platform.ErrUnavailable.New("node %s does not exist", node)
+	return store.ErrUnavailable.New("node %s does not exist", node)
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -110,7 +110,7 @@
 func TestUnknownOutcomeExitCode(t *testing.T) {
 	p := standin.NewPlatform().Handler()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/v1/rows/") {
+		if r.URL.Path == "/-/rows-tx" {
 			panic(http.ErrAbortHandler) // the write of the row is lost; objects are stored
 		}
 		p.ServeHTTP(w, r)
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelseam/dotterelseam/keys"
 	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/publish"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // keysCommand holds the commands grant, withdraw and list.
@@ -80,7 +81,7 @@
 		return code
 	}
 	key, id, err := (&keys.Operator{Table: client}).Grant(ctx, workspace)
-	if platform.ErrUnknownOutcome.Has(err) {
+	if store.ErrUnknownOutcome.Has(err) {
 		fmt.Fprintf(c.errOut, "outcome unknown; withdraw key ID %s, which may exist: %v\n", id, err)
 		return ExitUnknown
 	}
@@ -116,7 +117,7 @@
 // platformFailure prints an error of a call that had no effect.
 func (e *env) platformFailure(err error) subcommands.ExitStatus {
 	fmt.Fprintln(e.errOut, err)
-	if platform.IsOutage(err) || publish.ErrUnavailable.Has(err) {
+	if store.IsOutage(err) || publish.ErrUnavailable.Has(err) {
 		return ExitUnreachable
 	}
 	return ExitFailed
@@ -164,7 +165,7 @@
 		c.printJSON(w)
 	}
 	switch {
-	case platform.ErrUnknownOutcome.Has(err):
+	case store.ErrUnknownOutcome.Has(err):
 		fmt.Fprintln(c.errOut, err)
 		return ExitUnknown
 	case err != nil:
--- a/internal/cli/quota.go
+++ b/internal/cli/quota.go
@@ -9,7 +9,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/dotterelseam/dotterelseam/lease"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // quotaCommand holds the commands about quota.
@@ -70,13 +70,13 @@
 	}
 	err = lease.Retire(ctx, client, c.dataCentre, f.Args())
 	switch {
-	case platform.ErrConflict.Has(err):
+	case store.ErrConflict.Has(err):
 		fmt.Fprintln(c.errOut, "the holder row changed meanwhile; run the command again")
 		return ExitConflict
-	case platform.ErrUnknownOutcome.Has(err):
+	case store.ErrUnknownOutcome.Has(err):
 		fmt.Fprintf(c.errOut, "outcome unknown; run the command again: %v\n", err)
 		return ExitUnknown
-	case platform.ErrNotFound.Has(err):
+	case store.ErrNotFound.Has(err):
 		fmt.Fprintf(c.errOut, "data centre %q has no holder row\n", c.dataCentre)
 		return ExitFailed
 	case err != nil:
--- a/internal/experiment/overhead/bench.go
+++ b/internal/experiment/overhead/bench.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/ledger"
 	"github.com/dotterelseam/dotterelseam/node"
 )
@@ -110,7 +111,7 @@
 
 // announce announces the backend server once and then until ctx ends.
 func (b *bench) announce(ctx context.Context, local, backend string) error {
-	body, err := json.Marshal(node.Announcement{Service: service, Address: backend, Slots: slots, Connections: connections, State: "serving"})
+	body, err := json.Marshal(edge.Announcement{Service: service, Address: backend, Slots: slots, Connections: connections, State: "serving"})
 	if err != nil {
 		return Class.Wrap(err)
 	}
--- a/internal/experiment/quota/baseline.go
+++ b/internal/experiment/quota/baseline.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // tokens is a plain token bucket.
@@ -146,7 +147,7 @@
 			return true
 		}
 		version = got.Version
-	} else if !platform.ErrNotFound.Has(err) {
+	} else if !store.ErrNotFound.Has(err) {
 		return true
 	}
 	now := time.Now()
@@ -159,7 +160,7 @@
 		return true
 	}
 	if _, err := c.Put(ctx, "tokens/"+name, version, value); err != nil {
-		return !platform.ErrConflict.Has(err)
+		return !store.ErrConflict.Has(err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/experiment/quota/dotterel.go
+++ b/internal/experiment/quota/dotterel.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/quota"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 const secret = "experiment"
@@ -195,15 +196,15 @@
 
 func (t cutTable) reachable() error {
 	if t.m.dead.Load() || int(t.m.fleet.cut.Load())-1 == dcOf(t.m.index) {
-		return platform.ErrUnavailable.New("cut off")
+		return store.ErrUnavailable.New("cut off")
 	}
 	return nil
 }
 
 // Get implements lease.Table.
-func (t cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t cutTable) Get(ctx context.Context, key string) (store.Row, error) {
 	if err := t.reachable(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return t.next.Get(ctx, key)
 }
@@ -217,7 +218,7 @@
 }
 
 // List implements lease.Table.
-func (t cutTable) List(ctx context.Context, prefix string, after uint64) ([]platform.Row, error) {
+func (t cutTable) List(ctx context.Context, prefix string, after uint64) ([]store.Row, error) {
 	if err := t.reachable(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,157 @@
+// Package sidecar assembles a node that runs beside one backend server on the
+// users' platform. Command dotterelsidecar is a thin layer over it.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+
+	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/directory"
+	"github.com/dotterelseam/dotterelseam/distribution"
+	"github.com/dotterelseam/dotterelseam/node"
+	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/quota"
+	"github.com/dotterelseam/dotterelseam/retry"
+	"github.com/dotterelseam/dotterelseam/settings"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("sidecar")
+
+const (
+	// announcementsMissed is how many announcements of a living backend server
+	// may be late in a row. A dead one is noticed by its refused connections.
+	announcementsMissed = 6
+	// stopReserve is the part of the stop limit that is kept for the exit.
+	stopReserve = 500 * time.Millisecond
+	// leaveTime is how long a stopping node takes new requests, while callers and
+	// other nodes learn that it is not ready any more.
+	leaveTime = 2200 * time.Millisecond
+	// memoryPart of the memory is the soft limit of the Go runtime.
+	memoryPart = 0.7
+	// controlHeaderLimit bounds the time to read the headers of a control request.
+	controlHeaderLimit = 5 * time.Second
+)
+
+// Sidecar is one node with everything that runs beside it.
+type Sidecar struct {
+	settings  settings.Sidecar
+	log       logr.Logger
+	node      *node.Node
+	directory *directory.Directory
+	config    *distribution.Follower
+	quota     *quota.Partition
+	control   *http.Server
+	ready     *http.Server
+	listeners listeners
+	metrics   metrics.Registry
+	left      chan struct{} // closed at the end of Stop
+}
+
+type listeners struct{ callers, peers, announcements, ready, operators net.Listener }
+
+// New binds the listeners of the settings. The error is of class Error.
+func New(s *settings.Sidecar, log logr.Logger) (*Sidecar, error) {
+	bounds, err := platform.ParseBounds(s.Bounds)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory)))
+	d := &Sidecar{settings: *s, log: log, metrics: metrics.NewRegistry(), left: make(chan struct{})}
+	client := platform.New(platform.Config{URL: s.Platform})
+	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log})
+	d.config = distribution.NewFollower(platform.Configuration{Client: client}, log)
+	d.quota = quota.NewPartition(quota.PartitionConfig{
+		Nodes: d.directory.Nodes, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
+	})
+	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.node, err = node.New(d.nodeConfig(bounds))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	control := &platform.Control{Service: s.Service, Backend: d.node, Current: d.config.Current, Log: log}
+	d.control = &http.Server{Handler: control.Handler(), ReadHeaderTimeout: controlHeaderLimit}
+	d.ready = &http.Server{Handler: platform.Ready(d.node.Serving), ReadHeaderTimeout: controlHeaderLimit}
+	return d, nil
+}
+
+func (d *Sidecar) nodeConfig(bounds platform.Bounds) node.Config {
+	s := &d.settings
+	return node.Config{
+		ID: s.Name, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Region: s.Region,
+		PeerAddress: s.Addresses.Peers, Service: s.Service, Edge: platform.Edge{},
+		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
+		Configuration: d.config, Quota: node.FromPartition(d.quota), Directory: d.directory,
+		Retry:   retry.Config{Ratio: bounds.RetryRatio / 4, Burst: 3, Minimum: 0.1},
+		Metrics: d.metrics, Log: d.log,
+		AnnouncementLifetime: announcementsMissed * s.AnnouncementInterval,
+		NoticeTime:           leaveTime,
+	}
+}
+
+func (d *Sidecar) listen() error {
+	a := d.settings.Addresses
+	l := &d.listeners
+	for _, b := range []struct {
+		name, address string
+		target        *net.Listener
+	}{
+		{"callers", a.Callers, &l.callers}, {"peers", a.Peers, &l.peers}, {"announcements", a.Announcements, &l.announcements},
+		{"ready", a.Ready, &l.ready}, {"operators", a.Operators, &l.operators},
+	} {
+		listener, err := net.Listen("tcp", b.address)
+		if err != nil {
+			return Error.New("listener %s: %v", b.name, err)
+		}
+		*b.target = listener
+	}
+	return nil
+}
+
+// Run serves until Stop has ended the node or ctx ends. The error is nil after Stop.
+func (d *Sidecar) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	parts.Go(func() { d.directory.Run(ctx) })
+	parts.Go(func() { d.config.Run(ctx) })
+	parts.Go(func() { d.serve(d.control, d.listeners.announcements) })
+	parts.Go(func() { d.serve(d.ready, d.listeners.ready) })
+	err := d.node.Run(ctx)
+	if err == nil {
+		<-d.left
+	}
+	cancel()
+	_ = d.control.Close() // the process ends; there is nobody left to tell
+	_ = d.ready.Close()
+	parts.Wait()
+	return err
+}
+
+func (d *Sidecar) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		d.log.Error(err, "listener_failed", "address", l.Addr().String())
+	}
+}
+
+// Stop is the planned stop: the node says that it leaves, finishes what is in
+// flight and ends Run. The error is of class node.ErrStopLimit if ctx ends with
+// requests in flight.
+func (d *Sidecar) Stop(ctx context.Context) error {
+	defer close(d.left)
+	return d.node.Stop(ctx)
+}
+
+// StopLimit returns how long a planned stop may take.
+func (d *Sidecar) StopLimit() time.Duration { return d.settings.StopLimit - stopReserve }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,18 +3,11 @@
 package standin
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
-	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/dotterelseam/dotterelseam/platform"
 )
 
 const maxPlatformBody = 16 << 20
@@ -25,22 +18,29 @@
 	Delay       time.Duration `json:"delay"`        // added before each call, nanoseconds
 	LoseAnswers int           `json:"lose_answers"` // drop the connection after the effect of the next n writes
 	LoseBefore  int           `json:"lose_before"`  // drop the connection before the effect of the next n writes
+	Compacted   bool          `json:"compacted"`    // answer feeds with 410
 }
 
-// Platform is an in-memory table service and object store over HTTP.
+// Platform is an in-memory table service and object store that speaks the
+// platform's published protocol over HTTP.
 type Platform struct {
-	mu       sync.Mutex
-	rows     map[string]platform.Row
-	objects  map[string][]byte
-	revision uint64
-	faults   PlatformFaults
-	reads    uint64
-	writes   uint64
+	mu      sync.Mutex
+	rows    map[rowID]storedRow
+	log     []storedRow // all changes in order
+	changed chan struct{}
+	objects map[string][]byte
+	ver     uint64
+	started time.Time
+	faults  PlatformFaults
+	reads   uint64
+	writes  uint64
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Platform{
+		rows: map[rowID]storedRow{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now(),
+	}
 }
 
 // SetFaults replaces the failure mode.
@@ -61,11 +61,11 @@
 // PlatformFaults as JSON.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/rows/{key...}", p.guard(p.getRow))
-	mux.HandleFunc("PUT /v1/rows/{key...}", p.guard(p.putRow))
-	mux.HandleFunc("GET /v1/rows", p.guard(p.listRows))
-	mux.HandleFunc("GET /v1/objects/{digest}", p.guard(p.getObject))
-	mux.HandleFunc("PUT /v1/objects/{digest}", p.guard(p.putObject))
+	mux.HandleFunc("POST /-/rows-tx", p.guard(p.transact))
+	mux.HandleFunc("GET /-/rows-get", p.guard(p.getRows))
+	mux.HandleFunc("GET /-/rows-feed", p.guard(p.feed))
+	mux.HandleFunc("GET /-/blob-get/{id}", p.guard(p.getObject))
+	mux.HandleFunc("PUT /-/blob-put/{id}", p.guard(p.putObject))
 	mux.HandleFunc("POST /faults", p.postFaults)
 	mux.HandleFunc("GET /calls", p.getCalls)
 	return mux
@@ -88,7 +88,7 @@
 // guard applies the failure mode around a handler.
 func (p *Platform) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f, loseBefore, loseAfter := p.nextFault(r.Method == http.MethodPut)
+		f, loseBefore, loseAfter := p.nextFault(r.Method != http.MethodGet)
 		if f.Delay > 0 {
 			time.Sleep(f.Delay)
 		}
@@ -128,95 +128,16 @@
 	return f, false, false
 }
 
-func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	row, ok := p.rows[r.PathValue("key")]
-	p.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	writeJSON(w, row)
-}
-
-func (p *Platform) listRows(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	prefix := r.URL.Query().Get("prefix")
-	rows := []platform.Row{}
-	p.mu.Lock()
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && row.Revision > after {
-			rows = append(rows, row)
-		}
-	}
-	p.mu.Unlock()
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Revision < rows[j].Revision })
-	writeJSON(w, rows)
-}
-
-func (p *Platform) putRow(w http.ResponseWriter, r *http.Request) {
-	ifVersion, err := strconv.ParseUint(r.Header.Get("If-Version"), 10, 64)
-	if err != nil {
-		http.Error(w, "If-Version is missing or not a number", http.StatusBadRequest)
-		return
-	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, maxPlatformBody))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	version, ok := p.store(r.PathValue("key"), ifVersion, value)
-	if !ok {
-		http.Error(w, "version conflict", http.StatusPreconditionFailed)
-		return
-	}
-	w.Header().Set("Version", strconv.FormatUint(version, 10))
-	w.WriteHeader(http.StatusOK)
-}
-
-func (p *Platform) store(key string, ifVersion uint64, value []byte) (uint64, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old := p.rows[key]
-	if old.Version != ifVersion {
-		return 0, false
-	}
-	p.revision++
-	p.rows[key] = platform.Row{Key: key, Version: ifVersion + 1, Revision: p.revision, Value: value}
-	return ifVersion + 1, true
-}
-
-func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	data, ok := p.objects[r.PathValue("digest")]
-	p.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data)
+// now returns the platform's steady clock.
+func (p *Platform) now() string {
+	return strconv.FormatInt(time.Since(p.started).Milliseconds(), 10) + "ms"
 }
 
-func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxPlatformBody))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	sum := sha256.Sum256(data)
-	if hex.EncodeToString(sum[:]) != r.PathValue("digest") {
-		http.Error(w, "data does not match the digest", http.StatusBadRequest)
-		return
-	}
-	p.mu.Lock()
-	p.objects[r.PathValue("digest")] = data
-	p.mu.Unlock()
-	w.WriteHeader(http.StatusOK)
-}
+func writeJSON(w http.ResponseWriter, v any) { writeStatusJSON(w, http.StatusOK, v) }
 
-func writeJSON(w http.ResponseWriter, v any) {
+func writeStatusJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	// A write error means that the client is gone.
 	_ = json.NewEncoder(w).Encode(v)
 }
--- a/keys/operator.go
+++ b/keys/operator.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 const (
@@ -29,14 +29,14 @@
 }
 
 // Grant creates a key for a workspace and returns it. Errors are of the
-// platform's classes. After platform.ErrUnknownOutcome the key with the
+// platform's classes. After store.ErrUnknownOutcome the key with the
 // returned ID may exist and should be withdrawn.
 func (o *Operator) Grant(ctx context.Context, workspace string) (key, id string, err error) {
 	key, id = Generate()
 	digest := Digest(key)
 	v := value{Workspace: workspace, Digest: digest[:], State: Granted}
 	_, err = o.Table.Put(ctx, RowPrefix+id, 0, v.encode())
-	if platform.ErrUnknownOutcome.Has(err) {
+	if store.ErrUnknownOutcome.Has(err) {
 		err = o.readBack(ctx, id, v, err)
 	}
 	if err != nil {
@@ -49,7 +49,7 @@
 // random, so a conflict shows that the first write took effect.
 func (o *Operator) readBack(ctx context.Context, id string, v value, cause error) error {
 	_, err := o.Table.Put(ctx, RowPrefix+id, 0, v.encode())
-	if err == nil || platform.ErrConflict.Has(err) {
+	if err == nil || store.ErrConflict.Has(err) {
 		return nil
 	}
 	return cause
--- a/keys/store.go
+++ b/keys/store.go
@@ -10,14 +10,14 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/gossip"
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/refusal"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // Table is the part of the platform client that this package uses.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
-	List(ctx context.Context, prefix string, after uint64) ([]platform.Row, error)
+	Get(ctx context.Context, key string) (store.Row, error)
+	List(ctx context.Context, prefix string, after uint64) ([]store.Row, error)
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
 }
 
--- a/keys/withdraw.go
+++ b/keys/withdraw.go
@@ -12,8 +12,8 @@
 
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/refusal"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // WithdrawPath is the path of WithdrawHandler on the operators listener.
@@ -299,9 +299,9 @@
 func writeWithdrawal(ctx context.Context, t Table, id string, v value) error {
 	var err error
 	for range maxWriteTries {
-		var row platform.Row
+		var row store.Row
 		row, err = t.Get(ctx, RowPrefix+id)
-		if err != nil && !platform.ErrNotFound.Has(err) {
+		if err != nil && !store.ErrNotFound.Has(err) {
 			return err
 		}
 		if err == nil {
@@ -316,7 +316,7 @@
 		if _, err = t.Put(ctx, RowPrefix+id, row.Version, v.encode()); err == nil {
 			return nil
 		}
-		if !platform.ErrConflict.Has(err) && !platform.ErrUnknownOutcome.Has(err) {
+		if !store.ErrConflict.Has(err) && !store.ErrUnknownOutcome.Has(err) {
 			return err
 		}
 	}
--- a/keys/withdraw_test.go
+++ b/keys/withdraw_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/refusal"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 func confirm(dc string, inForce, missing int) func(string) (any, error) {
@@ -97,8 +97,8 @@
 	}{
 		"answer lost": {faults: standin.PlatformFaults{LoseAnswers: 1}},
 		"lost before": {faults: standin.PlatformFaults{LoseBefore: 1}},
-		"lost twice":  {faults: standin.PlatformFaults{LoseBefore: 2}, class: platform.ErrUnknownOutcome.Has},
-		"down":        {faults: standin.PlatformFaults{Down: true}, class: platform.ErrUnavailable.Has},
+		"lost twice":  {faults: standin.PlatformFaults{LoseBefore: 2}, class: store.ErrUnknownOutcome.Has},
+		"down":        {faults: standin.PlatformFaults{Down: true}, class: store.ErrUnavailable.Has},
 	} {
 		t.Run("grant, "+name, func(t *testing.T) {
 			f := newFixture(t)
--- a/lease/handover.go
+++ b/lease/handover.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // Stop ends lending by this node for good, before Release or HandOver.
@@ -73,7 +73,7 @@
 		k.note(next, written, k.cfg.Clock.Now())
 		return nil
 	}
-	if got, ok := k.read(ctx); ok && platform.ErrUnknownOutcome.Has(err) && sameRow(got, next) {
+	if got, ok := k.read(ctx); ok && store.ErrUnknownOutcome.Has(err) && sameRow(got, next) {
 		return nil
 	}
 	return err
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -10,14 +10,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/dotterelseam/dotterelseam/lease"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // world is one data centre with a table, in virtual time.
 type world struct {
 	t     *testing.T
 	now   time.Duration
-	row   platform.Row
+	row   store.Row
 	down  map[string]bool // nodes that do not reach the platform
 	lose  string          // what happens to the next write: "before", "after" or "late"
 	late  func()
@@ -54,44 +54,44 @@
 	return out
 }
 
-func (m member) Get(context.Context, string) (platform.Row, error) {
+func (m member) Get(context.Context, string) (store.Row, error) {
 	if m.w.down[m.id] {
-		return platform.Row{}, platform.ErrUnavailable.New("down")
+		return store.Row{}, store.ErrUnavailable.New("down")
 	}
 	if m.w.row.Version == 0 {
-		return platform.Row{}, platform.ErrNotFound.New("row")
+		return store.Row{}, store.ErrNotFound.New("row")
 	}
 	return m.w.row, nil
 }
 
-func (m member) List(context.Context, string, uint64) ([]platform.Row, error) { return nil, nil }
+func (m member) List(context.Context, string, uint64) ([]store.Row, error) { return nil, nil }
 
 func (m member) Put(_ context.Context, key string, ifVersion uint64, value []byte) (uint64, error) {
 	w := m.w
 	if w.down[m.id] {
-		return 0, platform.ErrUnavailable.New("down")
+		return 0, store.ErrUnavailable.New("down")
 	}
 	apply := func() bool {
 		if w.row.Version != ifVersion {
 			return false
 		}
-		w.row = platform.Row{Key: key, Version: ifVersion + 1, Value: slices.Clone(value)}
+		w.row = store.Row{Key: key, Version: ifVersion + 1, Value: slices.Clone(value)}
 		return true
 	}
 	lose := w.lose
 	w.lose = ""
 	switch lose {
 	case "before":
-		return 0, platform.ErrUnknownOutcome.New("lost")
+		return 0, store.ErrUnknownOutcome.New("lost")
 	case "late":
 		w.late = func() { apply() }
-		return 0, platform.ErrUnknownOutcome.New("lost")
+		return 0, store.ErrUnknownOutcome.New("lost")
 	}
 	if !apply() {
-		return 0, platform.ErrConflict.New("row")
+		return 0, store.ErrConflict.New("row")
 	}
 	if lose == "after" {
-		return 0, platform.ErrUnknownOutcome.New("lost")
+		return 0, store.ErrUnknownOutcome.New("lost")
 	}
 	return ifVersion + 1, nil
 }
--- a/lease/row.go
+++ b/lease/row.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // ErrRow is the class of holder rows that cannot be decoded.
@@ -74,12 +74,12 @@
 	return b, ErrRow.Wrap(err)
 }
 
-// Table is the part of platform.Client that a Keeper uses. Errors are of the
+// Table is the part of the store that a Keeper uses. Errors are of the
 // classes of package platform.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
+	Get(ctx context.Context, key string) (store.Row, error)
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
-	List(ctx context.Context, prefix string, after uint64) ([]platform.Row, error)
+	List(ctx context.Context, prefix string, after uint64) ([]store.Row, error)
 }
 
 // Query asks a member about the holder. With Fence it also tells the member
--- a/lease/takeover.go
+++ b/lease/takeover.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 func (k *Keeper) key() string { return RowPrefix + k.cfg.DataCentre }
@@ -17,7 +17,7 @@
 func (k *Keeper) read(ctx context.Context) (Row, bool) {
 	start := k.cfg.Clock.Now()
 	got, err := k.cfg.Table.Get(ctx, k.key())
-	if platform.ErrNotFound.Has(err) {
+	if store.ErrNotFound.Has(err) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.hasRead = true
@@ -239,7 +239,7 @@
 		return true
 	}
 	got, ok := k.read(ctx) // resolves an unknown outcome, and shows who was faster after a conflict
-	return ok && platform.ErrUnknownOutcome.Has(err) && sameRow(got, next)
+	return ok && store.ErrUnknownOutcome.Has(err) && sameRow(got, next)
 }
 
 func sameRow(a, b Row) bool {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -15,8 +15,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dotterelseam/dotterelseam/internal/pause"
-	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/refusal"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // MaxRecordedBody is the largest answer body that is recorded, in bytes. Larger
@@ -35,9 +35,9 @@
 	backgroundAtOnce = 32 // concurrent background writes, so that an outage's backlog does not flood the table
 )
 
-// Table is the part of platform.Client that the ledger uses.
+// Table is the part of the store that the ledger uses.
 type Table interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
+	Get(ctx context.Context, key string) (store.Row, error)
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
 }
 
@@ -135,8 +135,8 @@
 			e.version = version
 			return e, nil, nil
 		}
-		uncertain = uncertain || platform.ErrUnknownOutcome.Has(err)
-		if platform.ErrConflict.Has(err) || platform.ErrUnknownOutcome.Has(err) {
+		uncertain = uncertain || store.ErrUnknownOutcome.Has(err)
+		if store.ErrConflict.Has(err) || store.ErrUnknownOutcome.Has(err) {
 			mine, answer, settled, refused := l.readBack(ctx, e)
 			if mine || settled {
 				return entryIf(mine, e), answer, refused
@@ -164,7 +164,7 @@
 // the claim has to be written (again), with e.version set to the version found.
 func (l *Ledger) readBack(ctx context.Context, e *Entry) (mine bool, answer *Answer, settled bool, err error) {
 	version, rec, err := l.get(ctx, e.key)
-	if platform.ErrNotFound.Has(err) {
+	if store.ErrNotFound.Has(err) {
 		e.version = 0
 		return false, nil, false, nil
 	}
@@ -238,7 +238,7 @@
 	e.rec.State = abandoned
 	l.background(func(ctx context.Context) bool {
 		version, rec, err := l.get(ctx, e.key)
-		if err != nil && !platform.ErrNotFound.Has(err) {
+		if err != nil && !store.ErrNotFound.Has(err) {
 			return false
 		}
 		if err == nil && l.cannotTakeEffect(e, rec) {
@@ -266,7 +266,7 @@
 	}
 	version, rec, err := l.get(ctx, e.key)
 	if err != nil {
-		return platform.ErrNotFound.Has(err)
+		return store.ErrNotFound.Has(err)
 	}
 	if string(rec.Token) != string(e.rec.Token) || rec.State == e.rec.State {
 		return true
@@ -311,7 +311,7 @@
 func (l *Ledger) put(ctx context.Context, key string, ifVersion uint64, rec record) (uint64, error) {
 	value, err := cbor.Marshal(rec)
 	if err != nil {
-		return 0, platform.ErrRejected.Wrap(err)
+		return 0, store.ErrRejected.Wrap(err)
 	}
 	return l.table.Put(ctx, key, ifVersion, value)
 }
@@ -323,7 +323,7 @@
 	}
 	var rec record
 	if err := cbor.Unmarshal(row.Value, &rec); err != nil {
-		return 0, record{}, platform.ErrRejected.Wrap(err)
+		return 0, record{}, store.ErrRejected.Wrap(err)
 	}
 	return row.Version, rec, nil
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelseam/dotterelseam/ledger"
 	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/refusal"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // backend is what the backend server does with a request that reaches it.
@@ -201,7 +202,7 @@
 		return d.Table.Put(ctx, key, ifVersion, value)
 	}
 	d.held = func() { _, _ = d.Table.Put(context.Background(), key, ifVersion, value) }
-	return 0, platform.ErrUnknownOutcome.Wrap(errors.New("answer lost"))
+	return 0, store.ErrUnknownOutcome.Wrap(errors.New("answer lost"))
 }
 
 // Guards against a claim that takes effect after the node said "not run": the
--- a/membership/join.go
+++ b/membership/join.go
@@ -10,7 +10,7 @@
 
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/peer"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 const (
@@ -149,7 +149,7 @@
 	value.Endpoint = nil
 	value.Written = m.cfg.Now().Unix()
 	row, err := m.cfg.Table.Get(ctx, key)
-	if err != nil && !platform.ErrNotFound.Has(err) {
+	if err != nil && !store.ErrNotFound.Has(err) {
 		return err
 	}
 	_, err = m.cfg.Table.Put(ctx, key, row.Version, mustMarshal(value))
--- a/node/call.go
+++ b/node/call.go
@@ -134,6 +134,9 @@
 // that fails.
 func (c *call) portion() int {
 	left := c.budget.Left()
+	if !c.node.cfg.Edge.Contextual() {
+		return min(left, 1)
+	}
 	if need := c.to.need(c.route); c.route.Idempotent && c.tries == 1 && need > 0 && left > need {
 		return left - 1
 	}
@@ -150,6 +153,7 @@
 		return nil, &failure{refusal: refusal.New(refusal.Deadline, "the deadline has passed"), kind: balancer.Cancelled, result: peer.HopResult{AttemptsUnused: given}}
 	}
 	hop := hopFor(c.info, c.in.target.service, c.route, c.admitted, left, given, c.in.body.length)
+	hop.Origin = c.node.cfg.Service
 	if e.Node == c.node.cfg.ID {
 		return c.node.deliver(ctx, hop, c.in)
 	}
--- a/node/callers.go
+++ b/node/callers.go
@@ -72,34 +72,22 @@
 	if headerBytes(r.Header)+len(r.RequestURI) > n.cfg.MaxHeaderBytes {
 		return nil, refusal.New(refusal.HeadersTooLarge, "the headers are longer than %d bytes", n.cfg.MaxHeaderBytes)
 	}
-	from, refused := parseCallerHeaders(r.Header)
-	if refused != nil {
-		return nil, refused
-	}
-	to, refused := splitTarget(r)
-	if refused != nil {
-		return nil, refused
-	}
 	snapshot := n.cfg.Configuration.Current()
-	if snapshot == nil {
-		return nil, refusal.New(refusal.NoConfiguration, "the node has no configuration yet")
-	}
-	route, ok := snapshot.Match(to.service, r.Method, to.url.Path)
-	*series = routeSeries(to.service, route)
-	workspace, refused := n.workspace(snapshot, route, from.key)
+	from, refused := n.cfg.Edge.Accept(r, snapshot)
+	*series = routeSeries(from.Service, from.Route)
 	if refused != nil {
 		return nil, refused
 	}
-	if !ok {
-		return nil, refusal.New(refusal.NoRoute, "service %q has no route for %s %s", to.service, r.Method, to.url.Path)
-	}
-	c := n.newCall(r, to, route, min(route.Timeout, nonZero(from.timeout, route.Timeout)))
+	route := from.Route
+	to := target{service: from.Service, url: from.URL}
+	c := n.newCall(r, to, route, min(route.Timeout, nonZero(from.Timeout, route.Timeout)))
 	c.info = attempt.Info{
-		CallID: newCallID(), RequestID: from.requestID, Workspace: workspace,
-		Importance: route.Importance, Deadline: c.in.deadline,
+		CallID: newCallID(), RequestID: from.RequestID, Workspace: from.Workspace,
+		Importance: from.Importance, Deadline: c.in.deadline,
 	}
+	c.admitted = !n.cfg.Edge.Contextual() && from.Workspace == "" && route.Open
 	c.budget = attempt.NewBudget(route.Attempts)
-	if w, known := snapshot.Workspace(workspace); known {
+	if w, known := snapshot.Workspace(from.Workspace); known {
 		n.burn.demand(w, c.arrived)
 	}
 	return c, nil
@@ -116,27 +104,19 @@
 func (n *Node) newCall(r *http.Request, to target, route *config.Route, timeout time.Duration) *call {
 	now := n.now()
 	return &call{node: n, route: route, to: n.destination(to.service), arrived: now, in: &incoming{
-		method: r.Method, host: r.Host, target: to, header: forwardable(r.Header, 0), deadline: now.Add(timeout),
+		method: r.Method, host: r.Host, target: to, header: n.callerHeader(r.Header), deadline: now.Add(timeout),
 	}}
 }
 
-// workspace returns the workspace of a key; routes open to all need none and
-// ignore the key. route is nil when no route matches.
-func (n *Node) workspace(snapshot *config.Snapshot, route *config.Route, key string) (string, *refusal.Refusal) {
-	if route != nil && route.Open {
-		return "", nil
-	}
-	if key == "" {
-		return "", refusal.New(refusal.NoKey, "the request has no %s header", headerKey)
-	}
-	name, err := n.cfg.Keys.Lookup(key)
-	if err != nil {
-		return "", refusal.From(err)
-	}
-	if _, ok := snapshot.Workspace(name); !ok {
-		return "", refusal.New(refusal.UnknownKey, "the key's workspace is not configured")
+// callerHeader returns the headers of a request that go on to the backend server.
+func (n *Node) callerHeader(h http.Header) http.Header {
+	out := forwardable(h, 0)
+	for name := range out {
+		if n.cfg.Edge.Private(name) {
+			delete(out, name)
+		}
 	}
-	return name, nil
+	return out
 }
 
 // charge checks the destination's known threshold and takes quota. Requests
@@ -318,7 +298,7 @@
 	if !bodyTaken(w, r, c) || n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	refusal.Write(w, refused)
+	n.cfg.Edge.Refuse(w, refused)
 }
 
 // bodyTaken reports whether the body of a refused request has been read, so
--- a/node/charge.go
+++ b/node/charge.go
@@ -37,6 +37,19 @@
 	return c, nil
 }
 
+type partitionQuota struct{ *quota.Partition }
+
+func (q partitionQuota) Charge(ctx context.Context, workspace string) (Charge, error) {
+	c, err := q.Partition.Charge(ctx, workspace)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// FromPartition returns the Quota that charges this node's part of each bound.
+func FromPartition(p *quota.Partition) Quota { return partitionQuota{p} }
+
 // FromBucket returns the Quota that charges the shares of a bucket.
 func FromBucket(b *quota.Bucket) Quota { return bucketQuota{b} }
 
--- a/node/config.go
+++ b/node/config.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/admission"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/retry"
 	"github.com/dotterelseam/dotterelseam/status"
 )
@@ -26,6 +27,8 @@
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 60 * time.Second
 	DefaultBodyIdleTimeout   = 10 * time.Second
+	// DefaultAnnouncementLifetime is three times the interval of announcements.
+	DefaultAnnouncementLifetime = 3 * time.Second
 	// DefaultLeaveTime lets the other nodes learn of a planned stop before the
 	// listeners close.
 	DefaultLeaveTime = 500 * time.Millisecond
@@ -48,10 +51,15 @@
 	ClusterSecret string
 
 	Callers   net.Listener // public
-	Local     net.Listener // announcements and onward calls of the backend server
+	Local     net.Listener // announcements and onward calls of the backend server; nil if they come another way
 	Peers     net.Listener // other nodes
 	Operators net.Listener // status and metrics
 
+	// Service is that of the backend server on this host, if it is known from
+	// settings.
+	Service string
+
+	Edge          edge.Edge // how callers and backend servers speak; default: the project's own protocol
 	Configuration Configuration
 	Keys          KeyLookup
 	Quota         Quota
@@ -74,13 +82,25 @@
 	ReadHeaderLimit time.Duration // time to send the headers; default 5 s
 	IdleTimeout     time.Duration // of a caller's connection between requests; default 60 s
 	BodyIdleTimeout time.Duration // longest pause of a sender within a body; default 10 s
-	LeaveTime       time.Duration // between announcing a stop and closing listeners; default 500 ms
+	// AnnouncementLifetime is how long an announcement is valid after it was
+	// received; default 3 s.
+	AnnouncementLifetime time.Duration
+	// NoticeTime is how long a stopping node still takes new requests after it has
+	// announced that it leaves; default 0.
+	NoticeTime time.Duration
+	LeaveTime  time.Duration // between announcing a stop and closing listeners; default 500 ms
 }
 
 func (c Config) withDefaults() Config {
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
+	if c.Edge == nil {
+		c.Edge = ownEdge{keys: c.Keys}
+	}
+	if c.AnnouncementLifetime == 0 {
+		c.AnnouncementLifetime = DefaultAnnouncementLifetime
+	}
 	if c.Retry.Clock == nil {
 		c.Retry.Clock = c.Clock
 	}
@@ -118,9 +138,11 @@
 		missing bool
 	}{
 		{"ID", c.ID == ""}, {"DataCentre", c.DataCentre == ""}, {"PeerAddress", c.PeerAddress == ""},
-		{"ClusterSecret", c.ClusterSecret == ""}, {"Callers", c.Callers == nil}, {"Local", c.Local == nil},
+		{"ClusterSecret", c.ClusterSecret == "" && c.Edge.Contextual()}, {"Callers", c.Callers == nil},
+		{"Local", c.Local == nil && c.Edge.Contextual()},
 		{"Peers", c.Peers == nil}, {"Operators", c.Operators == nil}, {"Configuration", c.Configuration == nil},
-		{"Keys", c.Keys == nil}, {"Quota", c.Quota == nil}, {"Ledger", c.Ledger == nil},
+		{"Keys", c.Keys == nil && c.Edge.Contextual()}, {"Quota", c.Quota == nil},
+		{"Ledger", c.Ledger == nil && c.Edge.Contextual()},
 		{"Directory", c.Directory == nil},
 	} {
 		if f.missing {
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -5,12 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/admission"
 	"github.com/dotterelseam/dotterelseam/attempt"
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
@@ -92,7 +92,7 @@
 	ctx = d.call.Context()
 	resp, sent, err := d.backend.conns.roundTrip(ctx, &outgoing{
 		method: d.in.method, address: d.backend.Address, host: d.in.host, url: &d.in.target.url,
-		header: d.in.header, extra: d.context(), body: d.in.body,
+		header: d.in.header, extra: d.node.cfg.Edge.Context(d.told()), body: d.in.body,
 	})
 	if sent {
 		d.spent = 1
@@ -100,8 +100,8 @@
 	if err != nil {
 		return nil, d.failed(ctx, sent, err)
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) == "true" {
-		return nil, d.shed(resp)
+	if f := d.inspect(resp); f != nil {
+		return nil, f
 	}
 	a := newAnswer(resp, d.in.method, resp.ContentLength)
 	a.finish = func(complete bool) (peer.HopResult, bool) {
@@ -118,17 +118,33 @@
 	return a, nil
 }
 
-// context returns the headers that tell the backend server about the call.
-func (d *delivery) context() []field {
-	left := max(d.in.deadline.Sub(d.node.now()).Milliseconds(), 1)
-	fields := []field{
-		{headerContext, d.call.Token()}, {headerRequestID, d.id()},
-		{headerDeadline, strconv.FormatInt(left, 10)}, {headerWorkspace, d.hop.Workspace},
+// told returns what the backend server is told about the request.
+func (d *delivery) told() *edge.Delivery {
+	return &edge.Delivery{
+		Token: d.call.Token(), RequestID: d.hop.RequestID, CallID: d.hop.CallID, Workspace: d.hop.Workspace,
+		Origin: d.hop.Origin, Instance: d.backend.Instance, Left: d.in.deadline.Sub(d.node.now()),
 	}
-	if d.hop.Workspace == "" {
-		return fields[:3]
+}
+
+// inspect returns the failure that an answer means, or nil for the answer to
+// the request.
+func (d *delivery) inspect(resp *http.Response) *failure {
+	switch d.node.cfg.Edge.Inspect(resp, d.told()) {
+	case edge.NotRun:
+		return d.shed(resp, false)
+	case edge.NotRunLeaving:
+		return d.shed(resp, true)
+	case edge.WrongInstance:
+		_ = resp.Body.Close()
+		d.node.log.sampled("backend_replaced", "service", d.hop.Service, "request_id", d.id(), "instance", d.backend.Instance)
+		d.spent = 0
+		return d.refuse(refusal.New(refusal.NoBackendServer, "another backend server has the address"), admission.Failed)
+	case edge.Foreign:
+		_ = resp.Body.Close() // closes the connection, whose next answers cannot be told apart
+		d.node.log.sampled("answer_foreign", "service", d.hop.Service, "request_id", d.id(), "status", resp.StatusCode)
+		return d.refuse(refusal.NewRan(refusal.AnswerIncomplete, refusal.RanMaybe, "the backend server's answer does not belong to the request"), admission.Failed)
 	}
-	return fields
+	return nil
 }
 
 // failed explains an exchange without an answer.
@@ -167,8 +183,7 @@
 
 // shed turns the backend server's own report that it did not run the request
 // into a refusal.
-func (d *delivery) shed(resp *http.Response) *failure {
-	draining := resp.Header.Get(headerDraining) == "true"
+func (d *delivery) shed(resp *http.Response, draining bool) *failure {
 	// Reading the short rest keeps the connection usable.
 	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 	_ = resp.Body.Close()
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"syscall"
 	"time"
+
+	"github.com/dotterelseam/dotterelseam/edge"
 )
 
 // Limits of exchanges with other nodes and with the backend server.
@@ -34,15 +36,12 @@
 	address string // ip:port
 	host    string
 	url     *url.URL
-	header  http.Header // forwardable
-	extra   []field     // sent after header, whose fields of the same name do not exist
+	header  http.Header  // forwardable
+	extra   []edge.Field // sent after header, whose fields of the same name do not exist
 	body    *upload
 	chunked bool // chunked even if the length is known
 }
 
-// field is one header line.
-type field struct{ name, value string }
-
 // exchange is one request and its answer on a connection of a pool. It never
 // repeats a request, because each delivery has to be counted.
 type exchange struct {
--- a/node/hop.go
+++ b/node/hop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
@@ -39,7 +40,7 @@
 	}
 	resp, sent, err := n.hops.roundTrip(x.ctx, &outgoing{
 		method: in.method, address: e.PeerAddress, host: in.host, url: &in.target.url, header: in.header,
-		extra: []field{{peer.HeaderHop, encoded}, {peer.HeaderToken, n.cfg.ClusterSecret}}, body: in.body, chunked: true,
+		extra: []edge.Field{{Name: peer.HeaderHop, Value: encoded}, {Name: peer.HeaderToken, Value: n.cfg.ClusterSecret}}, body: in.body, chunked: true,
 	})
 	x.sent = sent
 	if err != nil {
--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -91,7 +91,7 @@
 		{name: "starting", posts: []string{strings.Replace(good, "serving", "starting", 1)}, want: refusal.NoBackendServer},
 		{name: "draining", posts: []string{good, strings.Replace(good, "serving", "draining", 1)}, want: refusal.Draining},
 		{name: "back again", posts: []string{strings.Replace(good, "serving", "draining", 1), good}},
-		{name: "expired", posts: []string{good}, then: func(n *Node) { offset.Add(int64(announcementLifetime) + 1) }, want: refusal.NoBackendServer},
+		{name: "expired", posts: []string{good}, then: func(n *Node) { offset.Add(int64(DefaultAnnouncementLifetime) + 1) }, want: refusal.NoBackendServer},
 		{name: "drained refusal", posts: []string{good}, then: func(n *Node) { n.backendDrained("refusal") }, want: refusal.Draining},
 		{name: "drained refusal, long ago", posts: []string{good}, then: func(n *Node) {
 			n.backendDrained("refusal")
--- a/node/local.go
+++ b/node/local.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelseam/dotterelseam/attempt"
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/refusal"
 	"github.com/dotterelseam/dotterelseam/report"
 )
@@ -112,22 +113,40 @@
 		refusal.Write(w, refusal.New(refusal.BadRequest, "announcements are posted"))
 		return
 	}
-	var a Announcement
+	var a edge.Announcement
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBody))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&a); err != nil {
 		refusal.Write(w, refusal.New(refusal.BadRequest, "announcement: %v", err))
 		return
 	}
-	if refused := a.check(); refused != nil {
-		refusal.Write(w, refused)
+	if err := n.Announce(a); err != nil {
+		refusal.Write(w, refusal.From(err))
 		return
 	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Announce takes over what the backend server on this host says of itself. It
+// returns a refusal if the announcement is not valid.
+func (n *Node) Announce(a edge.Announcement) error {
+	if refused := a.Check(); refused != nil {
+		return refused
+	}
 	if n.backend.announced(a, n.cfg.Admission, n.now()) {
-		n.log.event("backend_announced", "service", a.Service, "address", a.Address, "state", a.State, "slots", a.Slots, "connections", a.Connections)
+		n.log.event("backend_announced", "service", a.Service, "address", a.Address, "state", a.State, "slots", a.Slots, "connections", a.Connections, "instance", a.Instance)
+		n.publish()
+	}
+	return nil
+}
+
+// Withdraw removes the backend server of this host if it is the given instance,
+// of the given start (Unix milliseconds) unless that is 0.
+func (n *Node) Withdraw(instance string, started int64) {
+	if n.backend.withdraw(instance, started) {
+		n.log.event("backend_withdrawn", "instance", instance)
 		n.publish()
 	}
-	w.WriteHeader(http.StatusNoContent)
 }
 
 // publish tells the directory about the backend server on this host if
@@ -157,9 +176,9 @@
 	e := balancer.Endpoint{
 		Node: n.cfg.ID, Incarnation: n.cfg.Incarnation, PeerAddress: n.cfg.PeerAddress,
 		DataCentre: n.cfg.DataCentre, Region: n.cfg.Region, Service: b.Service,
-		Slots: b.Slots, Connections: b.Connections, State: b.state, ColdStart: b.coldStart(),
+		Slots: b.Slots, Connections: b.Connections, State: b.state, ColdStart: b.ColdStart(),
 	}
-	if n.stopping.Load() || n.backend.draining(b, n.now()) {
+	if n.leaving.Load() || n.backend.draining(b, n.now()) {
 		e.State = balancer.Draining
 	}
 	return e
--- a/node/node.go
+++ b/node/node.go
@@ -38,7 +38,8 @@
 
 	destinations destinations
 
-	stopping     atomic.Bool
+	leaving      atomic.Bool // a stop was announced
+	stopping     atomic.Bool // new requests are refused
 	stopped      chan struct{}
 	stopOnce     sync.Once
 	inFlight     gate
@@ -60,6 +61,7 @@
 		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopIdleTimeout, maxIdleHopConns, 0),
 		stopped: make(chan struct{}),
 	}
+	n.backend.lifetime = cfg.AnnouncementLifetime
 	cfg.Directory.Watch(n.updateDestination)
 	n.servers = []*http.Server{
 		n.server(n.serveCallers, cfg.IdleTimeout),
@@ -89,6 +91,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	failed := make(chan error, len(n.servers))
 	for i, l := range []net.Listener{n.cfg.Callers, n.cfg.Local, n.cfg.Peers, n.cfg.Operators} {
+		if l == nil {
+			continue
+		}
 		go func() { failed <- n.servers[i].Serve(typedErrors{l}) }()
 	}
 	n.log.event("node_started", "id", n.cfg.ID, "callers", n.cfg.Callers.Addr().String(), "peers", n.cfg.PeerAddress)
@@ -145,9 +150,11 @@
 }
 
 func (n *Node) stop(ctx context.Context) error {
-	n.stopping.Store(true)
+	n.leaving.Store(true)
 	n.log.event("node_stopping", "calls", n.calls.Len())
 	n.publish()
+	pause.For(ctx, n.cfg.NoticeTime)
+	n.stopping.Store(true)
 	n.inFlight.shut()
 	idle := n.waitIdle(ctx)
 	// http.Server.Shutdown drops, without an answer, a request that it reads
--- a/node/operators.go
+++ b/node/operators.go
@@ -35,9 +35,12 @@
 	_ = json.NewEncoder(w).Encode(map[string]status.State{"state": state}) // a write error means that the client is gone
 }
 
+// Serving reports whether the node takes new requests.
+func (n *Node) Serving() bool { return n.state() == status.Serving }
+
 func (n *Node) state() status.State {
 	switch {
-	case n.stopping.Load():
+	case n.leaving.Load():
 		return status.Draining
 	case n.cfg.Configuration.Current() == nil:
 		return status.Starting
--- a/node/request.go
+++ b/node/request.go
@@ -21,7 +21,7 @@
 		}
 	}
 	for _, f := range o.extra {
-		line(w, f.name, ": ", f.value, "\r\n")
+		line(w, f.Name, ": ", f.Value, "\r\n")
 	}
 	o.writeFraming(w)
 	line(w, "\r\n")
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -30,12 +30,13 @@
 	Service        string            `cbor:"3,keyasint"`
 	Route          string            `cbor:"4,keyasint"` // route pattern
 	Importance     config.Importance `cbor:"5,keyasint"`
-	Depth          int               `cbor:"6,keyasint"`           // 0 for the caller's own request
-	Attempts       int               `cbor:"7,keyasint"`           // attempts that the subtree may use, this delivery included
-	DeadlineMicros int64             `cbor:"8,keyasint"`           // time left, microseconds
-	RequestID      string            `cbor:"9,keyasint,omitempty"` // caller's own ID
-	Admitted       bool              `cbor:"10,keyasint"`          // part of a call tree that was admitted before
-	ContentLength  int64             `cbor:"11,keyasint"`          // promised request body length, bytes; -1 if unknown
+	Depth          int               `cbor:"6,keyasint"`            // 0 for the caller's own request
+	Attempts       int               `cbor:"7,keyasint"`            // attempts that the subtree may use, this delivery included
+	DeadlineMicros int64             `cbor:"8,keyasint"`            // time left, microseconds
+	RequestID      string            `cbor:"9,keyasint,omitempty"`  // caller's own ID
+	Admitted       bool              `cbor:"10,keyasint"`           // part of a call tree that was admitted before
+	ContentLength  int64             `cbor:"11,keyasint"`           // promised request body length, bytes; -1 if unknown
+	Origin         string            `cbor:"12,keyasint,omitempty"` // service of the host that the request came in on
 }
 
 // Deadline returns the time left.
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -13,7 +13,7 @@
 
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // Error classes. Every error of Publish belongs to exactly one of them.
@@ -45,7 +45,7 @@
 	readBackLimit = 10 * time.Second       // for all of them
 )
 
-// Client is the part of platform.Client that publishing needs.
+// Client is the part of the store that publishing needs.
 type Client interface {
 	RowReader
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
@@ -120,9 +120,9 @@
 	switch {
 	case err == nil:
 		return Current{Version: version, Digest: digest}, nil
-	case platform.ErrConflict.Has(err):
+	case store.ErrConflict.Has(err):
 		return p.afterConflict(ctx, from, digest)
-	case platform.ErrUnknownOutcome.Has(err):
+	case store.ErrUnknownOutcome.Has(err):
 		return p.readBack(ctx, from, digest)
 	}
 	return Current{}, noEffect(err)
@@ -143,7 +143,7 @@
 }
 
 func noEffect(err error) error {
-	if platform.IsOutage(err) {
+	if store.IsOutage(err) {
 		return ErrUnavailable.Wrap(err)
 	}
 	return ErrRejected.Wrap(err)
--- a/publish/row.go
+++ b/publish/row.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dotterelseam/dotterelseam/config"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // RowKey is the key of the table row that holds the configuration in force. The
@@ -35,7 +35,7 @@
 }
 
 // DecodeRow reads a table row. The error is of class ErrMalformed.
-func DecodeRow(r platform.Row) (Current, error) {
+func DecodeRow(r store.Row) (Current, error) {
 	var v row
 	if err := cbor.Unmarshal(r.Value, &v); err != nil {
 		return Current{}, ErrMalformed.Wrap(err)
@@ -46,9 +46,9 @@
 	return Current{Version: r.Version, Digest: v.Digest}, nil
 }
 
-// RowReader is the part of platform.Client that reading the row needs.
+// RowReader is the part of the store that reading the row needs.
 type RowReader interface {
-	Get(ctx context.Context, key string) (platform.Row, error)
+	Get(ctx context.Context, key string) (store.Row, error)
 }
 
 // ReadCurrent returns the configuration that the platform holds. The error is
@@ -58,15 +58,15 @@
 	switch {
 	case err == nil:
 		return DecodeRow(r)
-	case platform.ErrNotFound.Has(err):
+	case store.ErrNotFound.Has(err):
 		return Current{}, nil
-	case platform.ErrRejected.Has(err):
+	case store.ErrRejected.Has(err):
 		return Current{}, ErrRejected.Wrap(err)
 	}
 	return Current{}, ErrUnavailable.Wrap(err)
 }
 
-// Reader is the part of platform.Client that reading a snapshot needs.
+// Reader is the part of the store that reading a snapshot needs.
 type Reader interface {
 	RowReader
 	GetObject(ctx context.Context, digest string) ([]byte, error)
--- a/quota/sim_network_test.go
+++ b/quota/sim_network_test.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dotterelseam/dotterelseam/lease"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 type simCall struct {
@@ -135,15 +135,15 @@
 }
 
 // Get, Put and List implement lease.Table.
-func (n *simNode) Get(_ context.Context, key string) (platform.Row, error) {
+func (n *simNode) Get(_ context.Context, key string) (store.Row, error) {
 	s := n.sim
 	if err := s.platformDelay(n); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	row, ok := s.rows[key]
 	s.current.sleep(s.latency())
 	if !ok {
-		return row, platform.ErrNotFound.New("%s", key)
+		return row, store.ErrNotFound.New("%s", key)
 	}
 	return row, nil
 }
@@ -152,7 +152,7 @@
 	s.current.sleep(s.latency())
 	if s.faults.platformDown || s.isCut(n.id, "platform") {
 		s.current.sleep(time.Duration(s.rng.Int64N(int64(time.Second))))
-		return platform.ErrUnavailable.New("down")
+		return store.ErrUnavailable.New("down")
 	}
 	return nil
 }
@@ -166,7 +166,7 @@
 		if s.rows[key].Version != ifVersion {
 			return false
 		}
-		s.rows[key] = platform.Row{Key: key, Version: ifVersion + 1, Value: slices.Clone(value)}
+		s.rows[key] = store.Row{Key: key, Version: ifVersion + 1, Value: slices.Clone(value)}
 		return true
 	}
 	if s.rng.Float64() < s.faults.platformLoses {
@@ -178,20 +178,20 @@
 			s.at(time.Duration(s.rng.Int64N(int64(5*time.Second))), func() { apply() })
 		}
 		s.current.sleep(time.Second)
-		return 0, platform.ErrUnknownOutcome.New("lost")
+		return 0, store.ErrUnknownOutcome.New("lost")
 	}
 	if !apply() {
-		return 0, platform.ErrConflict.New("%s", key)
+		return 0, store.ErrConflict.New("%s", key)
 	}
 	s.current.sleep(s.latency())
 	return ifVersion + 1, nil
 }
 
-func (n *simNode) List(_ context.Context, _ string, _ uint64) ([]platform.Row, error) {
+func (n *simNode) List(_ context.Context, _ string, _ uint64) ([]store.Row, error) {
 	if err := n.sim.platformDelay(n); err != nil {
 		return nil, err
 	}
-	var rows []platform.Row
+	var rows []store.Row
 	for _, r := range n.sim.rows {
 		rows = append(rows, r)
 	}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/lease"
-	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // sim runs services of several data centres in virtual time, one step at a
@@ -28,7 +28,7 @@
 	version uint64
 	bound   map[string]*reference
 	faults  simFaults
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	load    map[string]float64 // requests per second at each node that does not have its own
 }
 
@@ -175,7 +175,7 @@
 }
 
 func newSim(seed uint64, dcs, nodesPerDC int, workspaces ...config.Workspace) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), bound: map[string]*reference{}, rows: map[string]platform.Row{}, load: map[string]float64{}}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), bound: map[string]*reference{}, rows: map[string]store.Row{}, load: map[string]float64{}}
 	s.faults.cut = map[[2]string]bool{}
 	s.version = 1
 	for d := range dcs {
--- /dev/null
+++ b/settings/sidecar.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"path/filepath"
+	"time"
+
+	"github.com/dotterelseam/dotterelseam/internal/strictyaml"
+)
+
+// Sidecar is the content of the settings file of a node that runs beside one
+// backend server on the users' platform.
+type Sidecar struct {
+	Name       string // unique among all nodes
+	DataCentre string
+	Region     string
+	Service    string // of the backend server on this host
+	Addresses  SidecarAddresses
+	Platform   string // base URL of the platform's store, without a trailing slash
+	// AnnouncementInterval is about how often the backend server announces itself.
+	AnnouncementInterval time.Duration
+	Memory               int64  // that the process may use, bytes
+	Bounds               string // what the platform asks for, as it writes it
+	StopLimit            time.Duration
+	LogLevel             LogLevel
+}
+
+// SidecarAddresses are the listeners of a Sidecar, each as ip:port.
+type SidecarAddresses struct {
+	Callers       string // callers and the backend server on this host
+	Peers         string // other nodes
+	Announcements string // the backend server on this host announces itself here
+	Ready         string // asked for readiness
+	Operators     string // status and metrics
+}
+
+// LoadSidecar reads and checks the settings file at path. The error is of class
+// ErrInvalid and holds Problems with everything that is wrong with the file.
+func LoadSidecar(path string) (*Sidecar, error) {
+	return finishSidecar(strictyaml.ReadFile(path))
+}
+
+// ParseSidecar does the same for data that was read already.
+func ParseSidecar(file string, data []byte) (*Sidecar, error) {
+	return finishSidecar(strictyaml.Parse(filepath.Base(file), data))
+}
+
+func finishSidecar(doc *strictyaml.Document) (*Sidecar, error) {
+	var s Sidecar
+	if doc.Root().Exists() {
+		s = readSidecar(doc.Root())
+	}
+	if len(doc.Problems) > 0 {
+		doc.Problems.Sort()
+		return nil, ErrInvalid.Wrap(doc.Problems)
+	}
+	return &s, nil
+}
+
+func readSidecar(root strictyaml.Value) Sidecar {
+	m, ok := root.Mapping("name", "data_centre", "region", "service", "addresses", "platform",
+		"announcement_interval", "memory", "bounds", "stop_limit", "log_level")
+	if !ok {
+		return Sidecar{}
+	}
+	s := Sidecar{StopLimit: DefaultStopLimit, LogLevel: LogInfo}
+	s.Name, _ = m.Require("name").Text()
+	s.DataCentre, _ = m.Require("data_centre").Text()
+	s.Region, _ = m.Require("region").Text()
+	s.Service, _ = m.Require("service").Text()
+	s.Addresses = readSidecarAddresses(m.Require("addresses"))
+	s.Platform = readURL(m.Require("platform"))
+	s.AnnouncementInterval, _ = m.Require("announcement_interval").Duration()
+	s.Memory, _ = m.Require("memory").Size()
+	if v := m.Get("bounds"); v.Exists() {
+		s.Bounds, _ = v.Text()
+	}
+	if v := m.Get("stop_limit"); v.Exists() {
+		s.StopLimit = readStopLimit(v)
+	}
+	if v := m.Get("log_level"); v.Exists() {
+		s.LogLevel = readLogLevel(v)
+	}
+	return s
+}
+
+func readSidecarAddresses(v strictyaml.Value) SidecarAddresses {
+	m, ok := v.Mapping("callers", "peers", "announcements", "ready", "operators")
+	if !ok {
+		return SidecarAddresses{}
+	}
+	seen := map[string]string{}
+	read := func(name string) string {
+		field := m.Require(name)
+		a, ok := readAddress(field)
+		if !ok {
+			return ""
+		}
+		text := a.String()
+		if other, twice := seen[text]; twice {
+			field.Report("%v is the address of %s already", a, other)
+		}
+		seen[text] = name
+		return text
+	}
+	return SidecarAddresses{
+		Callers: read("callers"), Peers: read("peers"), Announcements: read("announcements"),
+		Ready: read("ready"), Operators: read("operators"),
+	}
+}
