--- a/node/config.go
+++ b/node/config.go
@@ -47,7 +47,8 @@
 	PeerAddress string // address of Peers as other nodes reach it, ip:port
 	// SourceIP is where connections to other nodes start; default: the kernel's choice.
 	SourceIP net.IP
-	// ClusterSecret authenticates nodes to each other.
+	// ClusterSecret authenticates nodes to each other. It may be empty only with an
+	// Edge that is not contextual, where the network keeps others from Peers.
 	ClusterSecret string
 
 	Callers   net.Listener // public
--- a/node/peers.go
+++ b/node/peers.go
@@ -34,7 +34,12 @@
 	n.serveHop(w, r, &hop)
 }
 
+// tokenMatches reports whether a hop comes from a node of the fleet. Without a
+// secret the network alone keeps others out.
 func (n *Node) tokenMatches(r *http.Request) bool {
+	if n.cfg.ClusterSecret == "" {
+		return true
+	}
 	return peer.TokenEqual(r.Header.Get(peer.HeaderToken), n.cfg.ClusterSecret)
 }
 
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -18,8 +18,8 @@
 	Platform   string // base URL of the platform's store, without a trailing slash
 	// AnnouncementInterval is about how often the backend server announces itself.
 	AnnouncementInterval time.Duration
-	Memory               int64  // that the process may use, bytes
-	Bounds               string // what the platform asks for, as it writes it
+	Memory               int64    // that the process may use, bytes
+	Bounds               []string // what the platform asks for, as it writes it
 	StopLimit            time.Duration
 	LogLevel             LogLevel
 }
@@ -71,8 +71,10 @@
 	s.Platform = readURL(m.Require("platform"))
 	s.AnnouncementInterval, _ = m.Require("announcement_interval").Duration()
 	s.Memory, _ = m.Require("memory").Size()
-	if v := m.Get("bounds"); v.Exists() {
-		s.Bounds, _ = v.Text()
+	bounds, _ := m.Get("bounds").List()
+	for _, v := range bounds {
+		text, _ := v.Text()
+		s.Bounds = append(s.Bounds, text)
 	}
 	if v := m.Get("stop_limit"); v.Exists() {
 		s.StopLimit = readStopLimit(v)
