Keep the concurrency limit at the announced slots; recover shares faster

Cause: the adaptive limit fell to a tenth of the slots while a backend server refused requests for reasons other than load, and shares took 4 s to recover after a burst. Ruled out: the servers' own capacity, which did not change.

--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -13,9 +13,12 @@
 	// throttleMemory is the time constant of the observed part of failures.
 	throttleMemory = 500 * time.Millisecond
 	// throttleGain turns the excess of failures into a decrease per tick.
-	throttleGain = 0.15
-	// throttleRise is added to a share per tick while few requests fail.
-	throttleRise = 0.02
+	throttleGain = 0.25
+	// throttleRise is added to a share per tick while few requests fail, and as
+	// much again for each further tick in a row, up to throttleMaxRise. A share
+	// thus recovers within about 2 s of the end of an overload.
+	throttleRise    = 0.01
+	throttleMaxRise = 0.08
 	// throttleFloor is the lowest share. Without any request, nothing would tell
 	// that the overload has ended.
 	throttleFloor = 0.02
@@ -28,7 +31,7 @@
 // tolerated is the part of requests that may fail for overload further down
 // before fewer are let in. Less important requests give way first.
 var tolerated = [config.ImportanceLevels]float64{
-	config.Low: 0.04, config.Normal: 0.06, config.High: 0.1, config.Critical: 0.25,
+	config.Low: 0.03, config.Normal: 0.05, config.High: 0.2, config.Critical: 0.4,
 }
 
 // Throttle finds the share of each route's requests that is worth running on a
@@ -50,6 +53,7 @@
 // throttled is the state of one route and importance.
 type throttled struct {
 	share          float64
+	rise           float64 // latest increase, 0 after a decrease
 	failed, ended  float64 // decayed counts
 	ticked, latest time.Time
 }
@@ -95,8 +99,10 @@
 	switch {
 	case failing > limit:
 		s.share *= 1 - throttleGain*min(ticks, 2)*(failing-limit)
+		s.rise = 0
 	case failing < limit*throttleQuiet:
-		s.share += throttleRise * ticks
+		s.rise = min(s.rise+throttleRise*ticks, throttleMaxRise)
+		s.share += s.rise
 	}
 	s.share = min(max(s.share, throttleFloor), 1)
 	keep := 1 - ticks*float64(throttleTick)/float64(throttleMemory)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 
+	"github.com/dotterelseam/dotterelseam/admission"
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/directory"
 	"github.com/dotterelseam/dotterelseam/distribution"
@@ -36,6 +37,10 @@
 	// leaveTime is how long a stopping node takes new requests, while callers and
 	// other nodes learn that it is not ready any more.
 	leaveTime = 2200 * time.Millisecond
+	// retryPart of the permitted repeats are used, because repeats of requests
+	// further up repeat the calls below them too.
+	retryPart  = 0.75
+	retryBurst = 3
 	// memoryPart of the memory is the soft limit of the Go runtime.
 	memoryPart = 0.7
 	// controlHeaderLimit bounds the time to read the headers of a control request.
@@ -94,8 +99,10 @@
 		PeerAddress: s.Addresses.Peers, Service: s.Service, Edge: platform.Edge{},
 		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
 		Configuration: d.config, Quota: node.FromPartition(d.quota), Directory: d.directory,
-		Retry:   retry.Config{Ratio: bounds.RetryRatio / 4, Burst: 3, Minimum: 0.1},
-		Metrics: d.metrics, Log: d.log,
+		Retry: retry.Config{Ratio: retryPart * bounds.RetryRatio, Burst: retryBurst, Minimum: 0.1},
+		// The backend server says how many requests it runs at the same time.
+		Admission: admission.Config{FixedLimit: true},
+		Metrics:   d.metrics, Log: d.log,
 		AnnouncementLifetime: announcementsMissed * s.AnnouncementInterval,
 		NoticeTime:           leaveTime,
 	}
