--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,130 @@
+package directory_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/directory"
+	"github.com/dotterelseam/dotterelseam/internal/standin"
+	"github.com/dotterelseam/dotterelseam/platform"
+	"github.com/dotterelseam/dotterelseam/store"
+)
+
+type fleet struct {
+	t     *testing.T
+	stand *standin.Platform
+	url   string
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, stand: standin.NewPlatform()}
+	srv := httptest.NewServer(f.stand.Handler())
+	t.Cleanup(srv.CloseClientConnections)
+	f.url = srv.URL
+	return f
+}
+
+func (f *fleet) table() store.Table {
+	return platform.New(platform.Config{URL: f.url, BackoffBase: time.Millisecond, BreakerPause: time.Millisecond})
+}
+
+// start runs the directory of a node until the end of the test.
+func (f *fleet) start(node string) *directory.Directory {
+	f.t.Helper()
+	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	f.t.Cleanup(func() { cancel(); <-done })
+	return d
+}
+
+func endpoint(node string, state balancer.State) *balancer.Endpoint {
+	return &balancer.Endpoint{Node: node, Incarnation: 1, PeerAddress: "10.0.0.1:1", Service: "stockroom", Slots: 4, State: state}
+}
+
+// await waits until a directory holds the states of the nodes of a service.
+func await(t *testing.T, d *directory.Directory, want map[string]balancer.State) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got := map[string]balancer.State{}
+		for _, e := range d.Endpoints("stockroom") {
+			got[e.Node] = e.State
+		}
+		if len(got) != len(want) {
+			return poll.Continue("has %v, not %v", got, want)
+		}
+		for node, state := range want {
+			if s, ok := got[node]; !ok || s != state {
+				return poll.Continue("has %v, not %v", got, want)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// Guards against nodes that do not learn of each other's backend servers, of
+// their draining and of their leaving.
+func TestNodesLearnOfEachOther(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	a.Announce(endpoint("a", balancer.Serving))
+	b.Announce(endpoint("b", balancer.Serving))
+	both := map[string]balancer.State{"a": balancer.Serving, "b": balancer.Serving}
+	await(t, a, both)
+	await(t, b, both)
+	assert.Equal(t, a.Nodes(), 2)
+
+	a.Announce(endpoint("a", balancer.Draining))
+	await(t, b, map[string]balancer.State{"a": balancer.Draining, "b": balancer.Serving})
+	a.Announce(nil)
+	await(t, b, map[string]balancer.State{"a": balancer.Starting, "b": balancer.Serving})
+
+	assert.NilError(t, a.Leave(context.Background()))
+	await(t, b, map[string]balancer.State{"b": balancer.Serving})
+	// A node that starts later finds the rows of before.
+	await(t, f.start("c"), map[string]balancer.State{"b": balancer.Serving})
+}
+
+// Guards against endpoints that are forgotten in an outage of the store, and
+// against changes of the outage that are missed when its history is gone.
+func TestOutageAndCompaction(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	a.Announce(endpoint("a", balancer.Serving))
+	await(t, b, map[string]balancer.State{"a": balancer.Serving})
+	f.stand.SetFaults(standin.PlatformFaults{Down: true})
+	a.Announce(endpoint("a", balancer.Draining))
+	await(t, a, map[string]balancer.State{"a": balancer.Draining}) // its own view does not wait
+	await(t, b, map[string]balancer.State{"a": balancer.Serving})
+	f.stand.SetFaults(standin.PlatformFaults{Compacted: true})
+	await(t, b, map[string]balancer.State{"a": balancer.Draining})
+}
+
+// Guards against a lost answer to the write of a row that leaves the row behind
+// what the node announced last.
+func TestLostAnswers(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	f.stand.SetFaults(standin.PlatformFaults{LoseAnswers: 2, LoseBefore: 2})
+	a.Announce(endpoint("a", balancer.Serving))
+	a.Announce(endpoint("a", balancer.Draining))
+	await(t, b, map[string]balancer.State{"a": balancer.Draining})
+}
+
+// Guards against rows of other writers that break the directory.
+func TestUnreadableRow(t *testing.T) {
+	f := newFleet(t)
+	_, err := f.table().Put(context.Background(), directory.RowPrefix+"odd", 0, []byte("not an endpoint"))
+	assert.NilError(t, err)
+	a := f.start("a")
+	a.Announce(endpoint("a", balancer.Serving))
+	await(t, f.start("b"), map[string]balancer.State{"a": balancer.Serving})
+}
--- /dev/null
+++ b/distribution/follower_test.go
@@ -0,0 +1,86 @@
+package distribution_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/dotterelseam/dotterelseam/distribution"
+	"github.com/dotterelseam/dotterelseam/internal/standin"
+	"github.com/dotterelseam/dotterelseam/platform"
+)
+
+func operatorConfig(version int) []byte {
+	return fmt.Appendf(nil, `{"version":"r%d","routes":{},"services":{},"tenants":{}}`, version)
+}
+
+func startFollower(t *testing.T, stand *standin.Platform) *distribution.Follower {
+	t.Helper()
+	srv := httptest.NewServer(stand.Handler())
+	client := platform.New(platform.Config{URL: srv.URL, BackoffBase: time.Millisecond, BreakerPause: time.Millisecond})
+	f := distribution.NewFollower(platform.Configuration{Client: client}, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; srv.Close() })
+	return f
+}
+
+func awaitVersion(t *testing.T, f *distribution.Follower, want uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s := f.Current(); s == nil || s.Version != want {
+			return poll.Continue("not version %d yet", want)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// Guards against versions that are missed while the store is down, has lost its
+// history, or holds something unreadable.
+func TestFollowerThroughFaults(t *testing.T) {
+	for name, faults := range map[string]standin.PlatformFaults{
+		"down":      {Down: true},
+		"compacted": {Compacted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stand := standin.NewPlatform()
+			f := startFollower(t, stand)
+			assert.Assert(t, f.Current() == nil)
+			stand.Write("op", "config", operatorConfig(4))
+			awaitVersion(t, f, 4)
+			stand.SetFaults(faults)
+			stand.Write("op", "config", operatorConfig(9))
+			if faults.Down {
+				stand.SetFaults(standin.PlatformFaults{})
+			}
+			awaitVersion(t, f, 9)
+			stand.SetFaults(standin.PlatformFaults{})
+			stand.Write("op", "config", []byte("not a configuration"))
+			stand.Write("op", "other", operatorConfig(99))
+			stand.Write("op", "config", operatorConfig(12))
+			awaitVersion(t, f, 12)
+		})
+	}
+}
+
+// Guards against a version that goes back, as an old answer or a peer that is
+// behind would have it.
+func TestFollowerNeverReverts(t *testing.T) {
+	f := distribution.NewFollower(platform.Configuration{}, logr.Discard())
+	for _, tc := range []struct {
+		raw  []byte
+		want uint64
+	}{
+		{operatorConfig(7), 7}, {operatorConfig(3), 7}, {[]byte("{"), 7}, {operatorConfig(8), 8}, {operatorConfig(8), 8},
+	} {
+		f.Offer(tc.raw, "test")
+		assert.Equal(t, f.Current().Version, tc.want)
+	}
+}
