Write log lines without waiting for the output; one line per failed request

Each failed or late request has a line with what decided it: reason, whether it ran, nodes tried, time left, attempts and retry tokens left, version. Counters and histograms are served as text at /metrics. TestLogAndOperators now sends ten times the new limit of lines; its bound is that limit, as before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -68,6 +68,16 @@
 	OnwardRefused
 )
 
+var outcomeNames = [...]string{"ok", "failed", "shed", "cancelled", "onward_refused"}
+
+// String returns the name of the outcome in log lines.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // Controller admits requests to one backend server. It is safe for concurrent
 // use.
 type Controller struct {
--- a/cmd/dotterelnode/main.go
+++ b/cmd/dotterelnode/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/dotterelseam/dotterelseam/internal/daemon"
 	"github.com/dotterelseam/dotterelseam/internal/logging"
@@ -27,6 +28,9 @@
 	exitStopLimit = 8
 )
 
+// logLimit bounds the time to write the last log lines.
+const logLimit = 500 * time.Millisecond
+
 func main() {
 	path := flag.String("settings", "", "path of the YAML settings `file`")
 	flag.Parse()
@@ -43,7 +47,9 @@
 }
 
 func run(s *settings.Settings) int {
-	log := logging.New(os.Stderr, s.LogLevel)
+	lines := logging.NewWriter(os.Stderr)
+	defer lines.Close(logLimit)
+	log := logging.New(lines, s.LogLevel)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		log.Error(err, "start_failed")
--- a/cmd/dotterelsidecar/main.go
+++ b/cmd/dotterelsidecar/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -31,6 +32,9 @@
 	exitStopLimit = 8
 )
 
+// logLimit bounds the time to write the last log lines.
+const logLimit = 500 * time.Millisecond
+
 const settingsVariable = "DOTTERELSEAM_SETTINGS"
 
 func main() {
@@ -49,7 +53,9 @@
 }
 
 func run(s *settings.Sidecar, path string) int {
-	log := logging.New(os.Stdout, s.LogLevel)
+	lines := logging.NewWriter(os.Stdout)
+	defer lines.Close(logLimit)
+	log := logging.New(lines, s.LogLevel)
 	d, err := sidecar.New(s, log)
 	if err != nil {
 		log.Error(err, "start_failed")
--- a/node/call.go
+++ b/node/call.go
@@ -32,6 +32,7 @@
 	charge  *heldCharge // nil without quota
 	to      *destination
 	exclude []string
+	tried   []string    // nodes in the order of the tries
 	worst   refusal.Ran // most that any failed try may have run
 	tries   int
 	given   int     // attempts that went along with the latest try
@@ -115,6 +116,7 @@
 		pick.Done(balancer.Result{Kind: balancer.Cancelled})
 		return nil, &failure{refusal: refusal.New(refusal.AttemptsExhausted, "the call tree has used all its attempts"), untried: true}
 	}
+	c.tried = append(c.tried, pick.Endpoint().Node)
 	a, f := c.send(ctx, pick.Endpoint(), given, started)
 	if f == nil {
 		if err := a.readAhead(c.retryableStatus(a) || c.usesLedger()); err == nil {
@@ -329,5 +331,6 @@
 	}
 	c.last = r
 	c.node.metrics.retries.Inc(1)
+	c.logRetry(r, wait)
 	return pause.For(ctx, wait)
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelseam/dotterelseam/attempt"
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/ledger"
 	"github.com/dotterelseam/dotterelseam/refusal"
 	"github.com/dotterelseam/dotterelseam/report"
@@ -42,14 +43,13 @@
 		n.turnAway(w, r, errFull)
 		return
 	}
-	var series seriesKey
-	c, refused := n.accept(r, &series)
+	c, from, refused := n.accept(r)
 	if refused != nil {
-		n.burn.record(series, report.OfRefusal(refused, false), n.now())
-	} else {
-		refused = n.charge(r.Context(), c)
+		n.burn.record(routeSeries(from.Service, from.Route), report.OfRefusal(refused, false), n.now())
+		n.refuseUnaccepted(w, r, &from, refused)
+		return
 	}
-	if refused != nil {
+	if refused := n.charge(r.Context(), c); refused != nil {
 		n.refuse(w, r, c, refused)
 		return
 	}
@@ -59,24 +59,23 @@
 // turnAway refuses a request before it is looked at.
 func (n *Node) turnAway(w http.ResponseWriter, r *http.Request, refused *refusal.Refusal) {
 	n.burn.record(seriesKey{}, report.OfRefusal(refused, false), n.now())
-	n.refuse(w, r, nil, refused)
+	n.refuseUnaccepted(w, r, &edge.Accepted{}, refused)
 }
 
-// accept parses a caller's request, maps its key and finds its route. It sets
-// series to the route as soon as that is known.
-func (n *Node) accept(r *http.Request, series *seriesKey) (*call, *refusal.Refusal) {
+// accept parses a caller's request, maps its key and finds its route. With a
+// refusal it returns what is known of the request.
+func (n *Node) accept(r *http.Request) (*call, edge.Accepted, *refusal.Refusal) {
 	if !r.ProtoAtLeast(1, 1) {
 		// In HTTP/1.0 an answer of unknown length that breaks off looks complete.
-		return nil, refusal.New(refusal.BadRequest, "HTTP/1.1 is required")
+		return nil, edge.Accepted{}, refusal.New(refusal.BadRequest, "HTTP/1.1 is required")
 	}
 	if headerBytes(r.Header)+len(r.RequestURI) > n.cfg.MaxHeaderBytes {
-		return nil, refusal.New(refusal.HeadersTooLarge, "the headers are longer than %d bytes", n.cfg.MaxHeaderBytes)
+		return nil, edge.Accepted{}, refusal.New(refusal.HeadersTooLarge, "the headers are longer than %d bytes", n.cfg.MaxHeaderBytes)
 	}
 	snapshot := n.cfg.Configuration.Current()
 	from, refused := n.cfg.Edge.Accept(r, snapshot)
-	*series = routeSeries(from.Service, from.Route)
 	if refused != nil {
-		return nil, refused
+		return nil, from, refused
 	}
 	route := from.Route
 	to := target{service: from.Service, url: from.URL}
@@ -89,7 +88,7 @@
 	if w, known := snapshot.Workspace(from.Workspace); known {
 		n.burn.demand(w, c.arrived)
 	}
-	return c, nil
+	return c, from, nil
 }
 
 func nonZero(d, otherwise time.Duration) time.Duration {
@@ -230,11 +229,13 @@
 	if err := a.writeTo(w, c.in.deadline.Add(hopGrace)); err != nil {
 		n.metrics.aborted.Inc(1)
 		c.countAnswer(r.Context(), a.status, false)
-		n.log.sampled("answer_aborted", "service", c.in.target.service, "request_id", c.id(), "error", err.Error())
+		c.logAnswer(a.status, false)
 		panic(http.ErrAbortHandler)
 	}
 	a.setTrailers(h, names)
 	n.metrics.answered.Inc(1)
+	n.metrics.latency(c.in.target.service, n.now().Sub(c.arrived))
+	c.logAnswer(a.status, true)
 	c.countAnswer(r.Context(), a.status, true)
 }
 
@@ -285,18 +286,28 @@
 	return hex.EncodeToString(b[:])
 }
 
-// refuse answers with a refusal. c is nil when the request was not accepted.
+// refuse answers a call with a refusal.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, c *call, refused *refusal.Refusal) {
 	n.metrics.refused(refused)
-	if c != nil {
-		c.charge.refused(refused)
-		c.countRefusal(r.Context(), refused)
-	}
-	service, id := "", ""
-	if c != nil {
-		service, id = c.in.target.service, c.id()
+	c.charge.refused(refused)
+	c.countRefusal(r.Context(), refused)
+	c.logRefusal(r.Context(), refused)
+	n.writeRefusal(w, r, c, refused)
+}
+
+// refuseUnaccepted answers a request that did not become a call.
+func (n *Node) refuseUnaccepted(w http.ResponseWriter, r *http.Request, from *edge.Accepted, refused *refusal.Refusal) {
+	n.metrics.refused(refused)
+	version := uint64(0)
+	if s := n.cfg.Configuration.Current(); s != nil {
+		version = s.Version
 	}
-	n.log.refusal(refused, service, id)
+	n.log.unaccepted(from.RequestID, from.Service, version, refused)
+	n.writeRefusal(w, r, nil, refused)
+}
+
+// writeRefusal sends a refusal; c is nil when the request was not accepted.
+func (n *Node) writeRefusal(w http.ResponseWriter, r *http.Request, c *call, refused *refusal.Refusal) {
 	if !bodyTaken(w, r, c) || n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -74,6 +74,7 @@
 		return nil, d.refuse(refusal.New(refusal.AttemptsExhausted, "no attempt is left for the delivery"), admission.Cancelled)
 	}
 	d.backend = backend
+	queued := n.now()
 	ticket, err := backend.admission.Acquire(ctx, admission.Request{
 		Workspace: hop.Workspace, Importance: hop.Importance, Admitted: hop.Admitted, Deadline: in.deadline,
 		MaxWait: time.Duration(hop.WaitMicros) * time.Microsecond,
@@ -82,6 +83,7 @@
 		return nil, d.refuse(refusal.From(err), admission.Cancelled)
 	}
 	d.ticket, d.admitted = ticket, true
+	n.metrics.inAdmission.Update(n.now().Sub(queued).Microseconds())
 	return d.exchange(ctx)
 }
 
@@ -114,7 +116,11 @@
 		case resp.StatusCode >= http.StatusInternalServerError && d.overloadedBelow():
 			outcome = admission.OnwardRefused
 		}
-		return d.end(outcome, complete), true
+		result := d.end(outcome, complete)
+		if !complete || resp.StatusCode >= http.StatusInternalServerError {
+			d.logFailure(outcome, &result, "reason", "backend_answer", "status", resp.StatusCode, "whole", complete)
+		}
+		return result, true
 	}
 	return a, nil
 }
@@ -137,12 +143,10 @@
 		return d.shed(resp, true)
 	case edge.WrongInstance:
 		_ = resp.Body.Close()
-		d.node.log.sampled("backend_replaced", "service", d.hop.Service, "request_id", d.id(), "instance", d.backend.Instance)
 		d.spent = 0
 		return d.refuse(refusal.New(refusal.NoBackendServer, "another backend server has the address"), admission.Failed)
 	case edge.Foreign:
 		_ = resp.Body.Close() // closes the connection, whose next answers cannot be told apart
-		d.node.log.sampled("answer_foreign", "service", d.hop.Service, "request_id", d.id(), "status", resp.StatusCode)
 		return d.refuse(refusal.NewRan(refusal.AnswerIncomplete, refusal.RanMaybe, "the backend server's answer does not belong to the request"), admission.Failed)
 	}
 	return nil
@@ -166,8 +170,7 @@
 	case !sent:
 		return d.refuse(refusal.New(refusal.BackendFailed, "no connection to the backend server"), outcome)
 	}
-	d.node.log.sampled("backend_failed", "service", d.hop.Service, "request_id", d.id(), "error", err.Error())
-	return d.refuse(refusal.NewRan(refusal.BackendFailed, ran, "the backend server gave no answer"), outcome)
+	return d.refuse(refusal.NewRan(refusal.BackendFailed, ran, "the backend server gave no answer: %v", err), outcome)
 }
 
 func (d *delivery) id() string {
@@ -208,7 +211,9 @@
 }
 
 func (d *delivery) refuse(r *refusal.Refusal, outcome admission.Outcome) *failure {
-	return &failure{refusal: r, result: d.end(outcome, false), heard: true, kind: kindOf(r)}
+	f := &failure{refusal: r, result: d.end(outcome, false), heard: true, kind: kindOf(r)}
+	d.logFailure(outcome, &f.result, "reason", string(r.Reason), "ran", string(r.Ran), "message", r.Message)
+	return f
 }
 
 // overloadedBelow reports whether a failure is put down to onward calls that
--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -154,7 +154,8 @@
 		}, funcr.Options{})
 	}
 	h := f.host("a", "", standin.BackendBehaviour{})
-	for range 50 {
+	const requests = 10 * requestLinesPerSecond
+	for range requests {
 		req := newRequest(t, "GET", h.url+"/s/items/1", nil)
 		req.Header.Set(headerKey, "k9.secret")
 		do(t, req)
@@ -162,10 +163,10 @@
 	mu.Lock()
 	text := strings.Join(lines, "\n")
 	mu.Unlock()
-	assert.Equal(t, strings.Count(text, "unknown_key"), linesPerSecond, text)
+	assert.Equal(t, strings.Count(text, "unknown_key"), requestLinesPerSecond, text)
 	assert.Assert(t, !strings.Contains(text, "secret"))
 	for path, want := range map[string]string{
-		"/v1/metrics": `"refused.unknown_key":{"count":50}`, "/v1/health": `"serving"`, "/v1/status": `"a"`,
+		"/v1/metrics": fmt.Sprintf(`"refused.unknown_key":{"count":%d}`, requests), "/metrics": fmt.Sprintf("refused.unknown_key %d\n", requests), "/v1/health": `"serving"`, "/v1/status": `"a"`,
 	} {
 		_, body := do(t, newRequest(t, "GET", "http://"+h.node.cfg.Operators.Addr().String()+path, nil))
 		assert.Assert(t, strings.Contains(string(body), want), "%s", body)
--- a/node/local.go
+++ b/node/local.go
@@ -31,6 +31,8 @@
 		}
 		if c == nil {
 			n.burn.record(seriesKey{onward: true}, report.OfRefusal(refused, false), n.now())
+			n.refuseUnaccepted(w, r, &edge.Accepted{}, refused)
+			return
 		}
 		n.refuse(w, r, c, refused)
 		return
--- a/node/log.go
+++ b/node/log.go
@@ -1,17 +1,41 @@
 package node
 
 import (
+	"context"
+	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/dotterelseam/dotterelseam/admission"
+	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
-// linesPerSecond bounds the log lines of one kind. Under overload most requests
-// are refused, and logging each would cost more than refusing it.
-const linesPerSecond = 5
+// Limits of the log lines of one kind, per second. Under overload most requests
+// are refused, and logging each would cost more than refusing it. Failed
+// requests of callers keep their lines longest.
+const (
+	linesPerSecond         = 5
+	requestLinesPerSecond  = 70
+	deliveryLinesPerSecond = 25
+)
+
+// Kinds of lines with a limit of their own.
+const (
+	eventRequestFailed = "request_failed"
+	eventCallFailed    = "call_failed" // an onward call, or a request without a key
+	eventRequestLate   = "request_late"
+	eventRetried       = "request_retried"
+	eventDelivery      = "delivery_failed"
+)
+
+var lineLimits = map[string]int{
+	eventRequestFailed: requestLinesPerSecond, eventCallFailed: deliveryLinesPerSecond,
+	eventRequestLate: deliveryLinesPerSecond / 2, eventRetried: deliveryLinesPerSecond / 2, eventDelivery: deliveryLinesPerSecond,
+}
 
 // eventLog writes one line per event. Keys must not be passed to it.
 type eventLog struct {
@@ -40,16 +64,13 @@
 	}
 }
 
-// refusal logs a refusal unless enough of its reason were logged in this second.
-func (l *eventLog) refusal(r *refusal.Refusal, service, requestID string) {
-	if write, skipped := l.sample(string(r.Reason)); write {
-		l.logger.Info("refused", "reason", r.Reason, "ran", r.Ran, "service", service, "request_id", requestID, "message", r.Message, "skipped", skipped)
-	}
-}
-
 // sample reports whether to write a line of a kind and how many were left out
 // since the last one.
 func (l *eventLog) sample(kind string) (write bool, skipped int) {
+	limit, ok := lineLimits[kind]
+	if !ok {
+		limit = linesPerSecond
+	}
 	now := l.clock().Unix()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -57,7 +78,7 @@
 		l.second = now
 		clear(l.lines)
 	}
-	if l.lines[kind] >= linesPerSecond {
+	if l.lines[kind] >= limit {
 		l.skipped[kind]++
 		return false, 0
 	}
@@ -66,3 +87,77 @@
 	l.skipped[kind] = 0
 	return true, skipped
 }
+
+// unaccepted logs the refusal of a request that was not looked at further.
+func (l *eventLog) unaccepted(id, service string, version uint64, r *refusal.Refusal) {
+	if write, skipped := l.sample(eventRequestFailed); write {
+		l.logger.Info(eventRequestFailed, "request_id", id, "service", service, "reason", string(r.Reason), "ran", string(r.Ran),
+			"message", r.Message, "tries", 0, "version", version, "skipped", skipped)
+	}
+}
+
+// failedKind tells callers' requests from calls of backend servers.
+func (c *call) failedKind() string {
+	if c.info.Workspace == "" {
+		return eventCallFailed
+	}
+	return eventRequestFailed
+}
+
+// logRefusal writes the line of a call that got no answer, with what decided it.
+func (c *call) logRefusal(ctx context.Context, r *refusal.Refusal) {
+	c.logEnd(c.failedKind(), "reason", string(r.Reason), "ran", string(r.Ran), "message", r.Message,
+		"retry_after_ms", r.RetryAfter, "sender_gone", ctx.Err() != nil)
+}
+
+// logAnswer writes the line of a call whose answer is a failure or late.
+func (c *call) logAnswer(status int, whole bool) {
+	switch objective := c.route.Objective.Latency; {
+	case status >= http.StatusInternalServerError || !whole:
+		c.logEnd(c.failedKind(), "reason", "backend_answer", "status", status, "whole", whole)
+	case objective > 0 && c.info.Workspace != "" && c.node.now().Sub(c.arrived) > objective:
+		c.logEnd(eventRequestLate, "status", status, "objective_ms", objective)
+	}
+}
+
+func (c *call) logEnd(event string, outcome ...any) {
+	l := c.node.log
+	write, skipped := l.sample(event)
+	if !write {
+		return
+	}
+	now := c.node.now()
+	version := uint64(0)
+	if s := c.node.cfg.Configuration.Current(); s != nil {
+		version = s.Version
+	}
+	l.logger.Info(event, append([]any{
+		"request_id", c.id(), "service", c.in.target.service, "route", c.route.Pattern, "workspace", c.info.Workspace,
+		"importance", c.info.Importance.String(),
+	}, append(outcome, "tries", c.tries, "tried", strings.Join(c.tried, ","), "took_ms", now.Sub(c.arrived),
+		"left_ms", c.info.Deadline.Sub(now), "attempts_left", c.budget.Left(), "retry_tokens", c.to.retries.Tokens(),
+		"version", version, "skipped", skipped)...)...)
+}
+
+// logRetry writes the line of a call that is tried again.
+func (c *call) logRetry(r *refusal.Refusal, wait time.Duration) {
+	c.node.log.sampled(eventRetried, "request_id", c.id(), "service", c.in.target.service, "reason", string(r.Reason),
+		"ran", string(r.Ran), "message", r.Message, "tries", c.tries, "tried", strings.Join(c.tried, ","), "wait_ms", wait,
+		"attempts_left", c.budget.Left(), "retry_tokens", c.to.retries.Tokens())
+}
+
+// logFailure writes the line of a delivery that failed at the backend server's host.
+func (d *delivery) logFailure(outcome admission.Outcome, result *peer.HopResult, keysAndValues ...any) {
+	write, skipped := d.node.log.sample(eventDelivery)
+	if !write {
+		return
+	}
+	instance := ""
+	if d.backend != nil {
+		instance = d.backend.Instance
+	}
+	t := result.Threshold
+	d.node.log.logger.Info(eventDelivery, append([]any{"request_id", d.id(), "service", d.hop.Service, "origin", d.hop.Origin}, append(keysAndValues,
+		"outcome", outcome.String(), "instance", instance, "in_flight", t.InFlight, "queued", t.Queued, "limit", t.Limit, "lowest", t.Lowest.String(),
+		"share", result.Share, "overloaded_below", result.Overloaded, "left_ms", d.in.deadline.Sub(d.node.now()), "skipped", skipped)...)...)
+}
--- a/node/operators.go
+++ b/node/operators.go
@@ -2,7 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -16,6 +20,7 @@
 	mux.HandleFunc("GET /v1/health", n.serveHealth)
 	mux.Handle("GET "+status.Path, status.Handler(n.Status))
 	mux.HandleFunc("GET /v1/metrics", n.serveMetrics)
+	mux.HandleFunc("GET /metrics", n.serveMetricsText)
 	mux.Handle("GET "+report.Path, report.Handler(n.Burn))
 	if n.cfg.OperatorsExtra != nil {
 		mux.Handle("/", n.cfg.OperatorsExtra)
@@ -72,6 +77,30 @@
 	return s
 }
 
+// serveMetricsText serves a line for each counter and, for each histogram, one
+// for its count, mean and quantiles.
+func (n *Node) serveMetricsText(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	n.metrics.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.Histogram:
+			h := m.Snapshot()
+			quantiles := h.Percentiles([]float64{0.5, 0.9, 0.99})
+			lines = append(lines,
+				fmt.Sprintf("%s.count %d", name, h.Count()), fmt.Sprintf("%s.mean %.0f", name, h.Mean()),
+				fmt.Sprintf("%s.p50 %.0f", name, quantiles[0]), fmt.Sprintf("%s.p90 %.0f", name, quantiles[1]),
+				fmt.Sprintf("%s.p99 %.0f", name, quantiles[2]))
+		}
+	})
+	slices.Sort(lines)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n") // a write error means that the reader is gone
+}
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	metrics.WriteJSONOnce(n.metrics.registry, w)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// Tokens returns how many retries could be made at present.
+func (p *Policy) Tokens() float64 { return float64(p.tokens.Load()) / token }
+
 // reserve returns the tokens that calls of importance i leave to more important
 // ones: a quarter of the bucket for each level above.
 func (p *Policy) reserve(i config.Importance) int64 {
