Compare data centres by latency and failures, not by unknown load

Cause: the balancer compared calls in flight times latency across data centres. Complete failures of a backend server now count against it too.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -104,6 +104,7 @@
 	Kind      Kind
 	Threshold *peer.Threshold // nil if none was received
 	Draining  bool            // the endpoint said that it is leaving
+	Failing   bool            // the answer was complete, and a failure of the backend server
 }
 
 // Pick chooses an endpoint. The error is a *refusal.Refusal, not run:
@@ -138,18 +139,20 @@
 }
 
 // choose tries the tiers in order for an endpoint with headroom, then all tiers
-// together for one that at least does not refuse. A slow endpoint with headroom
-// gives way to a much cheaper one of a farther tier.
+// together for one that at least does not refuse. A slow or failing endpoint with
+// headroom gives way to a much better one of a farther tier. Load does not count
+// in this comparison: what is known of the load of a farther endpoint, which gets
+// few calls, is old.
 func (b *Balancer) choose(t *table, now int64, info *PickInfo) *state {
 	q := search{now: now, info: info, assumed: b.latency.estimate(now), random: b.cfg.Rand()}
 	var best *state
 	for _, tier := range t.tiers {
 		s := q.twoChoices(tier, spare)
-		if s == nil || best != nil && s.cost(now, spillAssumed)*spillFactor >= best.cost(now, q.assumed) {
+		if s == nil || best != nil && !s.muchBetter(best, &q) {
 			continue
 		}
 		best = s
-		if s.latency.estimate(now) < spillLatency {
+		if s.effort(now, q.assumed) < spillLatency {
 			return s
 		}
 	}
@@ -254,6 +257,12 @@
 	if r.Draining {
 		p.s.drainingUntil.Store(now + int64(drainingMemory))
 	}
+	switch {
+	case r.Kind == Failed || r.Failing:
+		p.s.failing.add(1)
+	case r.Kind == OK:
+		p.s.failing.add(0)
+	}
 	switch r.Kind {
 	case OK:
 		p.s.latency.add(now, r.Latency)
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -376,3 +376,53 @@
 		p.Done(Result{Kind: OK, Latency: time.Millisecond})
 	}
 }
+
+// Guards against calls that leave the own data centre on a calm day only because
+// the load of an endpoint that gets few calls is not known.
+func TestCalmDayStaysInDataCentre(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(Config{DataCentre: "a", Region: "r", Clock: func() time.Time { return now }})
+	b.Update([]Endpoint{
+		{Node: "near", DataCentre: "a", Region: "r", Slots: 100, State: Serving},
+		{Node: "far", DataCentre: "b", Region: "r", Slots: 100, State: Serving},
+	})
+	far := 0
+	var running []Pick
+	for range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		p, err := b.Pick(PickInfo{})
+		assert.NilError(t, err)
+		if p.Endpoint().Node == "far" {
+			far++
+		}
+		running = append(running, p)
+		if len(running) > 40 { // 40 calls in flight of 200 ms each
+			running[0].Done(Result{Latency: 200 * time.Millisecond})
+			running = running[1:]
+		}
+	}
+	assert.Assert(t, far < 2000/20, "%d of 2000 calls left the data centre", far)
+}
+
+// Guards against an endpoint that answers with failures and stays preferred
+// because it is near and fast.
+func TestFailingEndpointLosesCalls(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(Config{DataCentre: "a", Region: "r", Clock: func() time.Time { return now }})
+	b.Update([]Endpoint{
+		{Node: "near", DataCentre: "a", Region: "r", Slots: 100, State: Serving},
+		{Node: "far", DataCentre: "b", Region: "r", Slots: 100, State: Serving},
+	})
+	near := 0
+	for i := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		p, err := b.Pick(PickInfo{})
+		assert.NilError(t, err)
+		isNear := p.Endpoint().Node == "near"
+		if isNear && i >= 200 {
+			near++
+		}
+		p.Done(Result{Latency: 100 * time.Millisecond, Failing: isNear && i%2 == 0})
+	}
+	assert.Assert(t, near < 400, "the failing endpoint got %d of 800 calls", near)
+}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -33,6 +33,7 @@
 	ejectedUntil  atomic.Int64
 	drainingUntil atomic.Int64
 	latency       latency
+	failing       ratio
 	threshold     threshold
 }
 
@@ -82,13 +83,50 @@
 	return max(slots, 1)
 }
 
-// cost is (in flight + 1) x latency / slots. The in-flight count is this node's
-// own or the endpoint's last report, whichever is higher.
-func (s *state) cost(now int64, assumed float64) float64 {
+// effort is the latency in nanoseconds that a call costs at the endpoint, with an
+// addition for calls that fail there and have to be made again.
+func (s *state) effort(now int64, assumed float64) float64 {
 	l := s.latency.estimate(now)
 	if l == 0 {
 		l = max(assumed, 1)
 	}
+	return l * (1 + failurePenalty*s.failing.value())
+}
+
+// muchBetter reports whether s, of a farther tier, is worth the distance. Of an
+// endpoint whose latency is not known lately, one call at a time finds it out.
+func (s *state) muchBetter(near *state, q *search) bool {
+	if q.now-s.latency.at.Load() > latencyForget && s.inFlight.Load() > 0 {
+		return false
+	}
+	return s.effort(q.now, spillAssumed)*spillFactor < near.effort(q.now, q.assumed)
+}
+
+const (
+	// failurePenalty weighs the part of failed calls against latency.
+	failurePenalty = 8
+	// failureWeight is the weight of the latest call in the part of failed calls.
+	failureWeight = 1.0 / 16
+)
+
+// ratio is a moving average of zeros and ones.
+type ratio struct{ bits atomic.Uint64 }
+
+func (r *ratio) value() float64 { return math.Float64frombits(r.bits.Load()) }
+
+// add takes over one value. A lost update between concurrent calls only drops
+// one observation.
+func (r *ratio) add(v float64) {
+	old := r.value()
+	r.bits.Store(math.Float64bits(old + (v-old)*failureWeight))
+}
+
+func (r *ratio) reset() { r.bits.Store(0) }
+
+// cost is (in flight + 1) x latency / slots. The in-flight count is this node's
+// own or the endpoint's last report, whichever is higher.
+func (s *state) cost(now int64, assumed float64) float64 {
+	l := s.effort(now, assumed)
 	n := max(int(s.inFlight.Load()), s.threshold.load(now))
 	return float64(n+1) * l / s.slots(s.endpoint.Load(), now)
 }
--- a/balancer/table.go
+++ b/balancer/table.go
@@ -96,6 +96,7 @@
 	n := s.ejections.Add(1)
 	d := min(ejectBase<<min(n-1, 10), ejectMax)
 	s.ejectedUntil.Store(now + int64(d))
+	s.failing.reset() // the ejection is the penalty
 	// One more failure after the ejection ejects the endpoint again.
 	s.failures.Store(failuresToEject - 1)
 }
--- a/node/call.go
+++ b/node/call.go
@@ -244,6 +244,7 @@
 func (c *call) settle(ctx context.Context, a *answer) {
 	if a.pick != nil {
 		result := balancer.Result{Latency: a.latency, Kind: balancer.OK}
+		result.Failing = a.status >= http.StatusInternalServerError && !a.result.Overloaded
 		if a.lost || !a.result.Complete {
 			result.Kind = balancer.Failed
 		}
