Borrow quota tokens from other nodes; spill at 1.7 times the latency

A node whose part is used up now asks up to three others; tokens only move, so the bound holds without agreement. Requests near slow backend servers were late, since farther data centres had to be four times faster. Ruled out: the operator's limits (429 beyond the rate are not owed).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -29,10 +29,13 @@
 	// between data centres.
 	spillLatency = 20e6
 	// spillFactor is how many times cheaper a farther endpoint has to be.
-	spillFactor = 4
-	// spillAssumed is the latency assumed of a farther endpoint that is not known,
-	// in nanoseconds, so that it is tried when the nearer ones are slow.
+	spillFactor = 1.7
+	// spillAssumed is the latency assumed of a farther endpoint that has answered
+	// no call yet, in nanoseconds, so that it is tried when the nearer ones are slow.
 	spillAssumed = 5e6
+	// spillForget is the age, in nanoseconds, at which the latency of a farther
+	// endpoint has to be found out again.
+	spillForget = int64(3 * time.Second)
 )
 
 // Config describes a Balancer.
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -96,10 +96,11 @@
 // muchBetter reports whether s, of a farther tier, is worth the distance. Of an
 // endpoint whose latency is not known lately, one call at a time finds it out.
 func (s *state) muchBetter(near *state, q *search) bool {
-	if q.now-s.latency.at.Load() > latencyForget && s.inFlight.Load() > 0 {
-		return false
+	seen := s.latency.at.Load()
+	if seen == 0 || q.now-seen > spillForget {
+		return s.inFlight.Load() == 0
 	}
-	return s.effort(q.now, spillAssumed)*spillFactor < near.effort(q.now, q.assumed)
+	return s.effort(seen, spillAssumed)*spillFactor < near.effort(q.now, q.assumed)
 }
 
 const (
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,6 +80,20 @@
 	d.watchers = append(d.watchers, f)
 }
 
+// Peers returns the endpoints of all other nodes, also of those without a backend
+// server that serves.
+func (d *Directory) Peers() []balancer.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peers := make([]balancer.Endpoint, 0, len(d.rows))
+	for node, e := range d.rows {
+		if node != d.cfg.Node {
+			peers = append(peers, e.endpoint)
+		}
+	}
+	return peers
+}
+
 // Nodes returns the number of nodes that have a row, at least 1.
 func (d *Directory) Nodes() int {
 	d.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,8 +19,8 @@
 	"github.com/dotterelseam/dotterelseam/directory"
 	"github.com/dotterelseam/dotterelseam/distribution"
 	"github.com/dotterelseam/dotterelseam/node"
+	"github.com/dotterelseam/dotterelseam/partition"
 	"github.com/dotterelseam/dotterelseam/platform"
-	"github.com/dotterelseam/dotterelseam/quota"
 	"github.com/dotterelseam/dotterelseam/retry"
 	"github.com/dotterelseam/dotterelseam/settings"
 )
@@ -43,6 +43,8 @@
 	retryBurst = 3
 	// memoryPart of the memory is the soft limit of the Go runtime.
 	memoryPart = 0.7
+	// peerDialLimit bounds the time to connect to another node.
+	peerDialLimit = 500 * time.Millisecond
 	// controlHeaderLimit bounds the time to read the headers of a control request.
 	controlHeaderLimit = 5 * time.Second
 )
@@ -54,7 +56,7 @@
 	node      *node.Node
 	directory *directory.Directory
 	config    *distribution.Follower
-	quota     *quota.Partition
+	quota     *partition.Quota
 	control   *http.Server
 	ready     *http.Server
 	listeners listeners
@@ -75,8 +77,9 @@
 	client := platform.New(platform.Config{URL: s.Platform})
 	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log})
 	d.config = distribution.NewFollower(platform.Configuration{Client: client}, log)
-	d.quota = quota.NewPartition(quota.PartitionConfig{
+	d.quota = partition.New(partition.Config{
 		Nodes: d.directory.Nodes, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
+		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Peers: d.directory.Peers, Client: peerClient()}).Borrow,
 	})
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
@@ -92,6 +95,21 @@
 	return d, nil
 }
 
+// peers returns the handler of control calls of other nodes.
+func (d *Sidecar) peers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+partition.LendPath, d.quota.Handler())
+	return mux
+}
+
+// peerClient returns the client for control calls to other nodes.
+func peerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialLimit, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}}
+}
+
 func (d *Sidecar) nodeConfig(bounds platform.Bounds) node.Config {
 	s := &d.settings
 	return node.Config{
@@ -102,7 +120,7 @@
 		Retry: retry.Config{Ratio: retryPart * bounds.RetryRatio, Burst: retryBurst, Minimum: 0.1},
 		// The backend server says how many requests it runs at the same time.
 		Admission: admission.Config{FixedLimit: true},
-		Metrics:   d.metrics, Log: d.log,
+		Metrics:   d.metrics, Log: d.log, Control: d.peers(),
 		AnnouncementLifetime: announcementsMissed * s.AnnouncementInterval,
 		NoticeTime:           leaveTime,
 	}
--- a/node/charge.go
+++ b/node/charge.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelseam/dotterelseam/partition"
 	"github.com/dotterelseam/dotterelseam/quota"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
@@ -37,10 +38,10 @@
 	return c, nil
 }
 
-type partitionQuota struct{ *quota.Partition }
+type partitionQuota struct{ *partition.Quota }
 
 func (q partitionQuota) Charge(ctx context.Context, workspace string) (Charge, error) {
-	c, err := q.Partition.Charge(ctx, workspace)
+	c, err := q.Quota.Charge(ctx, workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +49,7 @@
 }
 
 // FromPartition returns the Quota that charges this node's part of each bound.
-func FromPartition(p *quota.Partition) Quota { return partitionQuota{p} }
+func FromPartition(p *partition.Quota) Quota { return partitionQuota{p} }
 
 // FromBucket returns the Quota that charges the shares of a bucket.
 func FromBucket(b *quota.Bucket) Quota { return bucketQuota{b} }
--- /dev/null
+++ b/partition/lend.go
@@ -0,0 +1,181 @@
+package partition
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+)
+
+// LendPath is where nodes ask each other for tokens, on the peers listener.
+const LendPath = "/v1/quota/lend"
+
+const (
+	// borrowLimit bounds the wait of a request for tokens of other nodes. It is a
+	// few round trips between data centres.
+	borrowLimit = 20 * time.Millisecond
+	// borrowAsks is how many nodes are asked one after the other.
+	borrowAsks = 3
+	// borrowPause is the pause after asking in vain; it doubles up to
+	// borrowMaxPause while nobody has any tokens.
+	borrowPause    = 50 * time.Millisecond
+	borrowMaxPause = 400 * time.Millisecond
+	// keptTokens stay with a node that lends.
+	keptTokens = 1.0
+	// lendPart of the tokens are lent, or one if that is more.
+	lendPart = 0.5
+
+	maxLendAnswer = 64 // bytes
+)
+
+// Lend takes tokens out of this node's part of a workspace's bound, for another
+// node. Tokens only move, so the sum over all nodes keeps the bound.
+func (p *Quota) Lend(workspace string) float64 {
+	now := p.cfg.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.workspaces[workspace]
+	if b == nil || b.bound.Rate == 0 {
+		return 0
+	}
+	p.refill(b, now)
+	lent := min(b.tokens-keptTokens, max(b.tokens*lendPart, 1))
+	if lent < 1 {
+		return 0 // less than a token lets no request in
+	}
+	b.tokens -= lent
+	return lent
+}
+
+// borrowing is one round of asking other nodes; done is closed at its end.
+type borrowing struct{ done chan struct{} }
+
+// borrow asks other nodes for tokens of a workspace and waits for the end of the
+// round, which other requests may share. It returns false if no round is worth it
+// at present. p.mu must not be held.
+func (p *Quota) borrow(ctx context.Context, workspace string) bool {
+	if p.cfg.Borrow == nil {
+		return false
+	}
+	now := p.cfg.Clock()
+	p.mu.Lock()
+	b := p.workspaces[workspace]
+	if b == nil || b.round == nil && now.Before(b.askAfter) {
+		p.mu.Unlock()
+		return false
+	}
+	round := b.round
+	if round == nil {
+		round = &borrowing{done: make(chan struct{})}
+		b.round = round
+		go p.runRound(workspace, round)
+	}
+	p.mu.Unlock()
+	select {
+	case <-round.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *Quota) runRound(workspace string, round *borrowing) {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowLimit)
+	defer cancel()
+	got := p.cfg.Borrow(ctx, workspace)
+	now := p.cfg.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(round.done)
+	b := p.workspaces[workspace]
+	if b == nil {
+		return
+	}
+	b.round = nil
+	p.refill(b, now)
+	b.tokens += got
+	if got > 0 {
+		b.pause = 0
+		return
+	}
+	b.pause = min(max(2*b.pause, borrowPause), borrowMaxPause)
+	b.askAfter = now.Add(b.pause)
+}
+
+// Handler answers other nodes that ask for tokens.
+func (p *Quota) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lent := p.Lend(r.URL.Query().Get("workspace"))
+		// If the answer is lost, so are the tokens, which only tightens the bound.
+		_, _ = io.WriteString(w, strconv.FormatFloat(lent, 'f', 3, 64))
+	})
+}
+
+// Borrower asks other nodes for tokens over HTTP.
+type Borrower struct {
+	DataCentre string // asked first
+	Peers      func() []balancer.Endpoint
+	Client     *http.Client
+}
+
+// Borrow asks a few nodes, one of them in the own data centre, until one lends.
+func (b *Borrower) Borrow(ctx context.Context, workspace string) float64 {
+	peers := b.Peers()
+	for i := range borrowAsks {
+		e, ok := b.choose(peers, i == 0)
+		if !ok || ctx.Err() != nil {
+			return 0
+		}
+		// A node that does not answer has lent nothing that counts here.
+		if got, err := b.ask(ctx, e.PeerAddress, workspace); err == nil && got > 0 {
+			return got
+		}
+	}
+	return 0
+}
+
+// choose returns a random node, of the own data centre if near is set and there
+// is one.
+func (b *Borrower) choose(peers []balancer.Endpoint, near bool) (e balancer.Endpoint, ok bool) {
+	seen := 0
+	for _, p := range peers {
+		if near && p.DataCentre != b.DataCentre {
+			continue
+		}
+		if seen++; rand.IntN(seen) == 0 {
+			e, ok = p, true
+		}
+	}
+	if !ok && near {
+		return b.choose(peers, false)
+	}
+	return e, ok
+}
+
+func (b *Borrower) ask(ctx context.Context, address, workspace string) (float64, error) {
+	u := "http://" + address + LendPath + "?workspace=" + url.QueryEscape(workspace)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, nil)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	resp, err := b.Client.Do(req)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLendAnswer))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0, Error.New("%s answered with status %d: %v", address, resp.StatusCode, err)
+	}
+	got, err := strconv.ParseFloat(string(body), 64)
+	if err != nil || got < 0 {
+		return 0, Error.Wrap(fmt.Errorf("%s lent %q: %w", address, body, err))
+	}
+	return got, nil
+}
--- /dev/null
+++ b/partition/partition_test.go
@@ -0,0 +1,206 @@
+package partition_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/partition"
+	"github.com/dotterelseam/dotterelseam/refusal"
+)
+
+// bounds of the platform that the partition is set by in these tests.
+const (
+	tolerance = 0.1
+	extra     = 20
+	window    = 5 * time.Second
+)
+
+// spend offers requests to every node of a fleet for the given time, and returns
+// the most that were admitted within any window.
+func spend(nodes, perSecond int, w config.Workspace, length time.Duration, restart func(elapsed time.Duration) bool) int {
+	now := time.Unix(0, 0)
+	fresh := func() *partition.Quota {
+		p := partition.New(partition.Config{
+			Nodes: func() int { return nodes }, Tolerance: tolerance, Extra: extra, Clock: func() time.Time { return now },
+		})
+		p.Configure([]config.Workspace{w})
+		return p
+	}
+	fleet := make([]*partition.Quota, nodes)
+	for i := range fleet {
+		fleet[i] = fresh()
+	}
+	const step = 10 * time.Millisecond
+	var admitted []int // by step
+	worst, sum := 0, 0
+	for elapsed := time.Duration(0); elapsed < length; elapsed += step {
+		now = now.Add(step)
+		count := 0
+		for i, p := range fleet {
+			if restart != nil && restart(elapsed) {
+				fleet[i] = fresh()
+				p = fleet[i]
+			}
+			for range perSecond / 100 {
+				if _, err := p.Charge(context.Background(), w.Name); err == nil {
+					count++
+				}
+			}
+		}
+		admitted = append(admitted, count)
+		sum += count
+		if n := len(admitted) - int(window/step); n > 0 {
+			sum -= admitted[n-1]
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+// Guards against a workspace that gets more than its bound with the permitted
+// excess in some window, also when all nodes restart.
+func TestPartitionBound(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		nodes   int
+		bound   config.Workspace
+		restart func(time.Duration) bool
+	}{
+		{name: "large", nodes: 16, bound: config.Workspace{Name: "w", Rate: 140, Burst: 140}},
+		{name: "small", nodes: 16, bound: config.Workspace{Name: "w", Rate: 4, Burst: 4}},
+		{name: "restart", nodes: 16, bound: config.Workspace{Name: "w", Rate: 140, Burst: 140},
+			restart: func(at time.Duration) bool { return at == 7*time.Second }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := spend(tc.nodes, 200, tc.bound, 30*time.Second, tc.restart)
+			limit := (tc.bound.Rate*window.Seconds()+tc.bound.Burst)*(1+tolerance) + extra
+			assert.Assert(t, float64(got) <= limit, "admitted %d, limit %v", got, limit)
+			assert.Assert(t, float64(got) >= tc.bound.Rate*window.Seconds(), "admitted %d of rate %v", got, tc.bound.Rate)
+		})
+	}
+}
+
+// Guards against a returned token that is lost, a refusal without a time to come
+// back, and a workspace without a bound that is refused.
+func TestPartitionCharges(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := partition.New(partition.Config{Nodes: func() int { return 1 }, Clock: func() time.Time { return now }})
+	p.Configure([]config.Workspace{{Name: "one", Rate: 2, Burst: 1}, {Name: "free"}})
+	charge, err := p.Charge(context.Background(), "one")
+	assert.NilError(t, err)
+	_, err = p.Charge(context.Background(), "one")
+	refused := refusal.From(err)
+	assert.Equal(t, refused.Reason, refusal.OverRate)
+	assert.Equal(t, refused.RetryAfter, 500*time.Millisecond)
+	charge.Return()
+	_, err = p.Charge(context.Background(), "one")
+	assert.NilError(t, err)
+	for range 100 {
+		charge, err := p.Charge(context.Background(), "free")
+		assert.NilError(t, err)
+		charge.Return()
+	}
+}
+
+// fleetOf returns nodes that borrow from each other directly. Asking in vain or
+// not at all is decided by reach.
+func fleetOf(n int, clock func() time.Time, w config.Workspace, reach func(from, to int) bool) []*partition.Quota {
+	fleet := make([]*partition.Quota, n)
+	for i := range fleet {
+		fleet[i] = partition.New(partition.Config{
+			Nodes: func() int { return n }, Tolerance: tolerance, Extra: extra, Clock: clock,
+			Borrow: func(_ context.Context, workspace string) float64 {
+				for step := 1; step < n; step++ {
+					if to := (i + step) % n; reach(i, to) {
+						if got := fleet[to].Lend(workspace); got > 0 {
+							return got
+						}
+					}
+				}
+				return 0
+			},
+		})
+		fleet[i].Configure([]config.Workspace{w})
+	}
+	return fleet
+}
+
+// Guards against requests that are refused at a busy node while others have
+// tokens left, and against a bound that borrowing exceeds.
+func TestBorrowing(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := config.Workspace{Name: "w", Rate: 100, Burst: 100}
+	fleet := fleetOf(8, func() time.Time { return now }, w, func(int, int) bool { return true })
+	admit := func(node, n int) (count int) {
+		for range n {
+			if _, err := fleet[node].Charge(context.Background(), "w"); err == nil {
+				count++
+			}
+		}
+		return count
+	}
+	for range 500 { // all demand at one node, within the rate
+		now = now.Add(10 * time.Millisecond)
+		admit(0, 1)
+	}
+	admitted := 0
+	for range 500 {
+		now = now.Add(10 * time.Millisecond)
+		admitted += admit(0, 1)
+	}
+	assert.Assert(t, admitted > 500*95/100, "%d of 500 requests within the rate were admitted", admitted)
+
+	admitted = 0
+	for range 500 { // everyone asks for everything
+		now = now.Add(10 * time.Millisecond)
+		for node := range fleet {
+			admitted += admit(node, 4)
+		}
+	}
+	limit := (w.Rate*window.Seconds()+w.Burst)*(1+tolerance) + extra
+	assert.Assert(t, float64(admitted) <= limit, "admitted %d, limit %v", admitted, limit)
+}
+
+// Guards against a node that is cut off and lends, borrows or waits without end.
+func TestBorrowingWhileCutOff(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := config.Workspace{Name: "w", Rate: 8, Burst: 8}
+	fleet := fleetOf(8, func() time.Time { return now }, w, func(from, to int) bool { return from != 0 && to != 0 })
+	now = now.Add(10 * time.Second)
+	count := 0
+	for range 100 {
+		if _, err := fleet[0].Charge(context.Background(), "w"); err == nil {
+			count++
+		}
+	}
+	assert.Assert(t, count >= 1 && count <= 3, "a node that is cut off admitted %d requests of its part", count)
+	assert.Equal(t, fleet[1].Lend("other"), 0.0)
+}
+
+// Guards the protocol between nodes: a node that answers badly lends nothing.
+func TestBorrowerOverHTTP(t *testing.T) {
+	now := time.Unix(0, 0)
+	lender := partition.New(partition.Config{Nodes: func() int { return 1 }, Clock: func() time.Time { return now }})
+	lender.Configure([]config.Workspace{{Name: "a b", Rate: 10, Burst: 10}})
+	now = now.Add(time.Minute)
+	good := httptest.NewServer(lender.Handler())
+	defer good.Close()
+	bad := httptest.NewServer(http.NotFoundHandler())
+	defer bad.Close()
+	borrow := func(url string) float64 {
+		b := partition.Borrower{DataCentre: "d", Client: http.DefaultClient, Peers: func() []balancer.Endpoint {
+			return []balancer.Endpoint{{Node: "x", DataCentre: "e", PeerAddress: strings.TrimPrefix(url, "http://")}}
+		}}
+		return b.Borrow(context.Background(), "a b")
+	}
+	assert.Equal(t, borrow(good.URL), 5.0)
+	assert.Equal(t, borrow(bad.URL), 0.0)
+}
