Leave hosts that are gone at once; retries that reached nobody are free

Cause: after replace_with_reuse with machines, other nodes kept sending to the address of the lost host, which belonged to another one; each such call cost a retry token, and calls failed once the tokens were used up. A hop now names its node, an unreachable endpoint is ejected at the first failure, and a newer row of the same address replaces the older one.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -107,7 +107,10 @@
 	Kind      Kind
 	Threshold *peer.Threshold // nil if none was received
 	Draining  bool            // the endpoint said that it is leaving
-	Failing   bool            // the answer was complete, and a failure of the backend server
+	// Unreachable tells that no connection was made, or that the address belongs to
+	// another node.
+	Unreachable bool
+	Failing     bool // the answer was complete, and a failure of the backend server
 }
 
 // Pick chooses an endpoint. The error is a *refusal.Refusal, not run:
@@ -274,6 +277,6 @@
 	case Cancelled:
 		p.s.latency.raise(now, r.Latency)
 	case Failed:
-		p.b.noteFailure(p.s, now)
+		p.b.noteFailure(p.s, now, r.Unreachable)
 	}
 }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -426,3 +426,26 @@
 	}
 	assert.Assert(t, near < 400, "the failing endpoint got %d of 800 calls", near)
 }
+
+// Guards against calls that are sent again and again to a host that is gone.
+func TestUnreachableEndpointIsLeftAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(Config{DataCentre: "a", Region: "r", Clock: func() time.Time { return now }})
+	b.Update([]Endpoint{
+		{Node: "gone", DataCentre: "a", Region: "r", Slots: 100, State: Serving},
+		{Node: "there", DataCentre: "a", Region: "r", Slots: 100, State: Serving},
+	})
+	gone := 0
+	for range 1000 {
+		now = now.Add(5 * time.Millisecond)
+		p, err := b.Pick(PickInfo{})
+		assert.NilError(t, err)
+		if p.Endpoint().Node == "gone" {
+			gone++
+			p.Done(Result{Kind: Failed, Unreachable: true})
+			continue
+		}
+		p.Done(Result{Latency: 10 * time.Millisecond})
+	}
+	assert.Assert(t, gone <= 5, "%d calls in 5 s went to a host that is gone", gone)
+}
--- a/balancer/table.go
+++ b/balancer/table.go
@@ -83,9 +83,9 @@
 }
 
 // noteFailure counts a failure and ejects the endpoint if it has failed too often
-// in a row, unless too many are ejected already.
-func (b *Balancer) noteFailure(s *state, now int64) {
-	if s.failures.Add(1) < failuresToEject {
+// in a row or could not be reached, unless too many are ejected already.
+func (b *Balancer) noteFailure(s *state, now int64, unreachable bool) {
+	if s.failures.Add(1) < failuresToEject && !unreachable {
 		return
 	}
 	b.mu.Lock()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,11 +94,12 @@
 	return peers
 }
 
-// Nodes returns the number of nodes that have a row, at least 1.
+// Nodes returns the number of nodes that have a row and still their address, at
+// least 1.
 func (d *Directory) Nodes() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return max(len(d.rows), 1)
+	return max(len(d.newestByAddress()), 1)
 }
 
 // Announce implements node.Directory. Without a backend server the row stays
@@ -260,7 +261,11 @@
 		d.rows[d.cfg.Node] = entry{revision: d.rows[d.cfg.Node].revision, endpoint: *own}
 	}
 	next := map[string][]balancer.Endpoint{}
-	for _, e := range d.rows {
+	newest := d.newestByAddress()
+	for node, e := range d.rows {
+		if newest[e.endpoint.PeerAddress] != node {
+			continue
+		}
 		next[e.endpoint.Service] = append(next[e.endpoint.Service], e.endpoint)
 	}
 	d.byService = next
@@ -276,6 +281,20 @@
 	}
 }
 
+// newestByAddress returns the node of the newest row of each address. An address
+// that another node has taken over tells that the one before is gone. The caller
+// holds d.mu.
+func (d *Directory) newestByAddress() map[string]string {
+	newest := make(map[string]string, len(d.rows))
+	for node, e := range d.rows {
+		other, taken := newest[e.endpoint.PeerAddress]
+		if !taken || node == d.cfg.Node || other != d.cfg.Node && d.rows[other].revision < e.revision {
+			newest[e.endpoint.PeerAddress] = node
+		}
+	}
+	return newest
+}
+
 func notify(watchers []func(string), service string) {
 	for _, f := range watchers {
 		f(service)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -47,7 +47,7 @@
 }
 
 func endpoint(node string, state balancer.State) *balancer.Endpoint {
-	return &balancer.Endpoint{Node: node, Incarnation: 1, PeerAddress: "10.0.0.1:1", Service: "stockroom", Slots: 4, State: state}
+	return &balancer.Endpoint{Node: node, Incarnation: 1, PeerAddress: node + ":1", Service: "stockroom", Slots: 4, State: state}
 }
 
 // await waits until a directory holds the states of the nodes of a service.
@@ -128,3 +128,17 @@
 	a.Announce(endpoint("a", balancer.Serving))
 	await(t, f.start("b"), map[string]balancer.State{"a": balancer.Serving})
 }
+
+// Guards against a host that is gone and stays in use because its address belongs
+// to another host now.
+func TestAddressTakenOver(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("a")
+	old, next := endpoint("old", balancer.Serving), endpoint("next", balancer.Serving)
+	next.PeerAddress = old.PeerAddress
+	f.start("old").Announce(old)
+	await(t, a, map[string]balancer.State{"old": balancer.Serving})
+	f.start("next").Announce(next)
+	await(t, a, map[string]balancer.State{"next": balancer.Serving})
+	assert.Equal(t, a.Nodes(), 1)
+}
--- a/node/answer.go
+++ b/node/answer.go
@@ -26,13 +26,16 @@
 	result  peer.HopResult
 	heard   bool          // result comes from the destination node
 	kind    balancer.Kind // for the balancer
-	untried bool          // no endpoint or no attempt was there for the try
+	// unreachable tells that the destination node could not be connected to, or is
+	// another one than was meant.
+	unreachable bool
+	untried     bool // no endpoint or no attempt was there for the try
 }
 
 // kindOf tells the balancer what a refusal by the destination node means.
 func kindOf(r *refusal.Refusal) balancer.Kind {
 	switch r.Reason {
-	case refusal.BackendFailed, refusal.AnswerIncomplete, refusal.NoBackendServer, refusal.Internal:
+	case refusal.BackendFailed, refusal.AnswerIncomplete, refusal.NoBackendServer, refusal.Internal, refusal.WrongNode:
 		return balancer.Failed
 	case refusal.Overload, refusal.Draining:
 		return balancer.Refused
--- a/node/call.go
+++ b/node/call.go
@@ -40,6 +40,8 @@
 	last    *refusal.Refusal
 	arrived time.Time
 	shed    bool // the backend server itself refused the latest delivery
+	// unreached tells that the latest try reached no backend server.
+	unreached bool
 }
 
 // run makes tries until one gives an answer or no other is allowed. It returns
@@ -64,6 +66,7 @@
 		if !f.untried {
 			c.shed = f.result.Shed
 		}
+		c.unreached = f.result.AttemptsUnused >= c.given
 		if f.untried || !c.pause(ctx, f.refusal, f.result.Retried) {
 			if c.kept != nil {
 				return c.kept, nil
@@ -155,7 +158,7 @@
 		return nil, &failure{refusal: refusal.New(refusal.Deadline, "the deadline has passed"), kind: balancer.Cancelled, result: peer.HopResult{AttemptsUnused: given}}
 	}
 	hop := hopFor(c.info, c.in.target.service, c.route, c.admitted, left, given, c.in.body.length)
-	hop.Origin = c.node.cfg.Service
+	hop.Origin, hop.Target = c.node.cfg.Service, e.Node
 	hop.WaitMicros = c.maxWait().Microseconds()
 	if e.Node == c.node.cfg.ID {
 		return c.node.deliver(ctx, hop, c.in)
@@ -213,7 +216,7 @@
 
 // settleFailure reports a failed try to the balancer and takes unused attempts back.
 func (c *call) settleFailure(pick balancer.Pick, f *failure, latency time.Duration) {
-	result := balancer.Result{Latency: latency, Kind: f.kind, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
+	result := balancer.Result{Latency: latency, Kind: f.kind, Unreachable: f.unreachable, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
 	if f.heard {
 		result.Threshold = known(&f.result.Threshold)
 	}
@@ -325,7 +328,7 @@
 	wait, ok := c.to.retries.Allow(retry.Attempt{
 		Number: c.tries, Importance: c.info.Importance, Reason: r.Reason, Ran: r.Ran, Idempotent: c.route.Idempotent, Retried: retried,
 		BodyReplayable: c.in.body.repeatable(), Elsewhere: c.to.balancer.Admits(c.pickInfo()),
-		RetryAfter: r.RetryAfter, AttemptsLeft: c.budget.Left(), Deadline: c.info.Deadline,
+		Unreached: c.unreached, RetryAfter: r.RetryAfter, AttemptsLeft: c.budget.Left(), Deadline: c.info.Deadline,
 	})
 	if !ok {
 		return false
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -16,7 +16,10 @@
 
 // Limits of exchanges with other nodes and with the backend server.
 const (
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
+	// Connections that have gone silent without a reset end after the probes.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
 	// hopIdleTimeout is below peersIdleTimeout, so that the side that sends
 	// requests closes idle connections first and no request meets a closing one.
 	hopIdleTimeout   = 60 * time.Second
--- a/node/hop.go
+++ b/node/hop.go
@@ -77,6 +77,7 @@
 		f.refusal = refusal.NewRan(refusal.BackendFailed, ran, "the connection to the destination node failed")
 	default:
 		f.refusal = refusal.New(refusal.BackendFailed, "no connection to the destination node")
+		f.unreachable = true
 	}
 	return f
 }
@@ -116,6 +117,7 @@
 		r.Ran = refusal.RanMaybe
 	}
 	f := &failure{refusal: r, kind: kindOf(r)}
+	f.unreachable = resp.StatusCode == http.StatusMisdirectedRequest
 	result, ok := decodeResult(resp.Header.Get(peer.TrailerHopResult))
 	f.result, f.heard = result, ok
 	return x.fail(f, hop)
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,6 +31,12 @@
 		n.refuseHop(w, nil, &failure{refusal: refusal.New(refusal.BadRequest, "the hop header is malformed")})
 		return
 	}
+	if hop.Target != "" && hop.Target != n.cfg.ID {
+		n.refuseHop(w, nil, &failure{
+			refusal: refusal.New(refusal.WrongNode, "the address belongs to node %s", n.cfg.ID), result: peer.HopResult{AttemptsUnused: hop.Attempts},
+		})
+		return
+	}
 	n.serveHop(w, r, &hop)
 }
 
--- a/node/pool.go
+++ b/node/pool.go
@@ -27,7 +27,8 @@
 // newConnPool returns a pool whose connections start from source; nil leaves
 // the choice to the kernel.
 func newConnPool(source net.IP, timeout time.Duration, maxIdle, maxConns int) *connPool {
-	p := &connPool{dialer: net.Dialer{Timeout: dialTimeout}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
+	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
+	p := &connPool{dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
 	if source != nil {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -37,6 +37,7 @@
 	Admitted       bool              `cbor:"10,keyasint"`           // part of a call tree that was admitted before
 	ContentLength  int64             `cbor:"11,keyasint"`           // promised request body length, bytes; -1 if unknown
 	WaitMicros     int64             `cbor:"13,keyasint,omitempty"` // longest time in the admission queue, microseconds; 0 means the default
+	Target         string            `cbor:"14,keyasint,omitempty"` // node that the request is meant for
 	Origin         string            `cbor:"12,keyasint,omitempty"` // service of the host that the request came in on
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -62,6 +62,8 @@
 	LedgerUnavailable Reason = "ledger_unavailable"
 	NoConfiguration   Reason = "no_configuration"
 	Internal          Reason = "internal"
+	// WrongNode is used between nodes only: the address belongs to another node.
+	WrongNode Reason = "wrong_node"
 )
 
 var statuses = map[Reason]int{
@@ -87,6 +89,7 @@
 	LedgerUnavailable: http.StatusServiceUnavailable,
 	NoConfiguration:   http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
+	WrongNode:         http.StatusMisdirectedRequest,
 }
 
 // Reasons returns all reasons in alphabetical order.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -123,6 +123,7 @@
 	Retried        bool          // the answer used retries further down
 	BodyReplayable bool          // the body can be sent again, or no byte of it was sent
 	Elsewhere      bool          // an endpoint that has not failed or refused this call admits it
+	Unreached      bool          // the latest attempt reached no backend server
 	RetryAfter     time.Duration // asked for by the refusal; 0 means none
 	AttemptsLeft   int           // rest of the attempt budget
 	Deadline       time.Time     // zero means none
@@ -137,10 +138,11 @@
 	refusal.AnswerIncomplete: true,
 	refusal.NoBackendServer:  true,
 	refusal.Internal:         true,
+	refusal.WrongNode:        true,
 }
 
 // Allow reports whether the call may be made again, and after what delay. It
-// spends a token if it allows the retry.
+// spends a token if it allows the retry, unless no backend server was reached.
 func (p *Policy) Allow(a Attempt) (delay time.Duration, ok bool) {
 	if !retryable[a.Reason] || a.Retried || a.AttemptsLeft <= 0 || !a.BodyReplayable {
 		return 0, false
@@ -156,6 +158,11 @@
 	if !a.Deadline.IsZero() && !now.Add(delay).Before(a.Deadline) {
 		return 0, false
 	}
+	// The budget protects backend servers. An attempt that reached none costs them
+	// nothing, but one that was refused for overload is still limited.
+	if a.Unreached && a.Reason != refusal.Overload {
+		return delay, true
+	}
 	if !p.take(now, p.reserve(a.Importance)) {
 		return 0, false
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -148,3 +148,24 @@
 	fmt.Println("order that may have run is retried:", ok)
 	// Output: order that may have run is retried: false
 }
+
+// Guards against retries that the budget forbids although no backend server was
+// reached, and against overload refusals that are repeated without a bound.
+func TestUnreachedAttemptsCostNothing(t *testing.T) {
+	for reason, limited := range map[refusal.Reason]bool{
+		refusal.BackendFailed: false, refusal.NoBackendServer: false, refusal.WrongNode: false, refusal.Draining: false,
+		refusal.Overload: true,
+	} {
+		now := start
+		p := policy(&now, Config{Ratio: 0.1, Burst: 2})
+		a := failed
+		a.Reason, a.Ran, a.Unreached, a.Elsewhere = reason, refusal.RanNo, true, true
+		allowed := 0
+		for range 10 {
+			if _, ok := p.Allow(a); ok {
+				allowed++
+			}
+		}
+		assert.Equal(t, allowed < 10, limited, "%s", reason)
+	}
+}
