--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -14,11 +15,15 @@
 	throttleMemory = 500 * time.Millisecond
 	// throttleGain turns the excess of failures into a decrease per tick.
 	throttleGain = 0.25
-	// throttleRise is added to a share per tick while few requests fail, and as
-	// much again for each further tick in a row, up to throttleMaxRise. A share
-	// thus recovers within about 2 s of the end of an overload.
-	throttleRise    = 0.01
-	throttleMaxRise = 0.08
+	// A share rises per tick by a part of its distance from the share at which
+	// requests began to fail: fast while it is far below or, after the overload has
+	// ended, far above, and slowly near it, where it would fail again.
+	throttleRisePart = 0.12
+	throttleMinRise  = 0.004
+	throttleMaxRise  = 0.06
+	// throttleBelowEdge is where the slow rise is centred, as a part of the share at
+	// which requests began to fail.
+	throttleBelowEdge = 0.85
 	// throttleFloor is the lowest share. Without any request, nothing would tell
 	// that the overload has ended.
 	throttleFloor = 0.02
@@ -31,7 +36,7 @@
 // tolerated is the part of requests that may fail for overload further down
 // before fewer are let in. Less important requests give way first.
 var tolerated = [config.ImportanceLevels]float64{
-	config.Low: 0.03, config.Normal: 0.05, config.High: 0.2, config.Critical: 0.4,
+	config.Low: 0.02, config.Normal: 0.04, config.High: 0.4, config.Critical: 0.6,
 }
 
 // Throttle finds the share of each route's requests that is worth running on a
@@ -53,7 +58,8 @@
 // throttled is the state of one route and importance.
 type throttled struct {
 	share          float64
-	rise           float64 // latest increase, 0 after a decrease
+	edge           float64 // share at which requests began to fail lately
+	falling        bool    // the latest change was a decrease
 	failed, ended  float64 // decayed counts
 	ticked, latest time.Time
 }
@@ -76,7 +82,7 @@
 		if !overloaded {
 			return 1
 		}
-		s = &throttled{share: 1, ticked: now}
+		s = &throttled{share: 1, edge: 1, ticked: now}
 		t.shares[key] = s
 	}
 	s.latest = now
@@ -98,11 +104,14 @@
 	failing := s.failed / s.ended
 	switch {
 	case failing > limit:
+		if !s.falling {
+			s.edge, s.falling = s.share, true
+		}
 		s.share *= 1 - throttleGain*min(ticks, 2)*(failing-limit)
-		s.rise = 0
 	case failing < limit*throttleQuiet:
-		s.rise = min(s.rise+throttleRise*ticks, throttleMaxRise)
-		s.share += s.rise
+		s.falling = false
+		rise := throttleRisePart * math.Abs(s.share-throttleBelowEdge*s.edge)
+		s.share += ticks * min(max(rise, throttleMinRise), throttleMaxRise)
 	}
 	s.share = min(max(s.share, throttleFloor), 1)
 	keep := 1 - ticks*float64(throttleTick)/float64(throttleMemory)
