Derive shares from the part of onward calls that destinations tell to fail

Cause: a route's own failures are few and late, so shares swung around the point of overload. Each result now tells which part of such requests is refused or fails for refusals further down; a route's failures per refused call are learned, and its share follows the refusals. The floor of a share is 0.15, so that a long overload starves no kind of request.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -94,6 +94,7 @@
 	queue    queue
 	shares   shares
 	gate     gate
+	refusing [config.ImportanceLevels]refusalPart
 }
 
 // New returns a Controller with the full limit in force.
@@ -168,6 +169,7 @@
 	now := c.now()
 	deadline := c.deadline(r)
 	c.mu.Lock()
+	c.refusing[level(r.Importance)].arrived(now)
 	if c.queue.length == 0 && c.inFlight < c.limit(now) && c.mayMeet(now, deadline, 0) {
 		c.admit(now, r.Importance, c.shares.get(now, r.Workspace))
 		c.mu.Unlock()
@@ -226,7 +228,7 @@
 	s := c.shares.get(now, r.Workspace)
 	class := classOf(r.Importance, r.Admitted)
 	if !c.mayMeet(now, deadline, c.queue.ahead(class, s)) {
-		return nil, c.refuseDeadline(now)
+		return nil, c.refuseDeadline(now, r.Importance)
 	}
 	if c.queue.length >= c.queueLimit() {
 		victim := c.queue.worseThan(class, s)
@@ -303,7 +305,7 @@
 		case now >= w.expires:
 			c.drop(w, c.refuseOverload(now, w.importance, "waited too long"))
 		case !c.mayMeet(now, w.deadline, 0):
-			c.drop(w, c.refuseDeadline(now))
+			c.drop(w, c.refuseDeadline(now, w.importance))
 		default:
 			c.queue.remove(w)
 			c.admit(now, w.importance, w.share)
@@ -333,17 +335,27 @@
 // errCallerGone is returned for a request whose caller left before it was admitted.
 var errCallerGone = refusal.New(refusal.Deadline, "caller left or deadline passed before the request was admitted")
 
-func (c *Controller) refuseDeadline(now int64) *refusal.Refusal {
+func (c *Controller) refuseDeadline(now int64, i config.Importance) *refusal.Refusal {
+	c.refusing[level(i)].refused++
 	return refusal.New(refusal.Deadline, "deadline cannot be met").After(c.retryAfter(now))
 }
 
 func (c *Controller) refuseOverload(now int64, i config.Importance, cause string) *refusal.Refusal {
 	c.gate.shed(now, i, c.within())
+	c.refusing[level(i)].refused++
 	r := &refusal.Refusal{Reason: refusal.Overload, Ran: refusal.RanNo, Message: cause}
 	r.RetryAfter = c.retryAfter(now)
 	return r
 }
 
+// Refusing returns the part of requests of an importance that was refused lately,
+// from 0 to 1.
+func (c *Controller) Refusing(i config.Importance) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusing[level(i)].part()
+}
+
 // retryAfter returns the time in which a full queue is expected to empty.
 func (c *Controller) retryAfter(now int64) time.Duration {
 	return max(time.Duration(c.expectedWait(now, c.queueLimit())), minRetryAfter)
--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -11,8 +11,11 @@
 const (
 	// throttleTick is the time between two changes of a share.
 	throttleTick = 100 * time.Millisecond
-	// throttleMemory is the time constant of the observed part of failures.
-	throttleMemory = 500 * time.Millisecond
+	// throttleMemory is the time constant of the counts of failures.
+	throttleMemory = 2 * time.Second
+	// throttleEvidence is the least sum of parts of refused onward calls that tells
+	// how failures follow from them.
+	throttleEvidence = 0.3
 	// throttleGain turns the excess of failures into a decrease per tick.
 	throttleGain = 0.25
 	// A share rises per tick by a part of its distance from the share at which
@@ -24,9 +27,9 @@
 	// throttleBelowEdge is where the slow rise is centred, as a part of the share at
 	// which requests began to fail.
 	throttleBelowEdge = 0.85
-	// throttleFloor is the lowest share. Without any request, nothing would tell
-	// that the overload has ended.
-	throttleFloor = 0.02
+	// throttleFloor is the lowest share, so that less important requests are not
+	// starved by a long overload, and something tells when it has ended.
+	throttleFloor = 0.15
 	// throttleQuiet is the part of the tolerated failures below which a share rises.
 	throttleQuiet = 0.5
 	// throttleIdle is the time without requests after which a share is forgotten.
@@ -36,7 +39,7 @@
 // tolerated is the part of requests that may fail for overload further down
 // before fewer are let in. Less important requests give way first.
 var tolerated = [config.ImportanceLevels]float64{
-	config.Low: 0.02, config.Normal: 0.04, config.High: 0.4, config.Critical: 0.6,
+	config.Low: 0.02, config.Normal: 0.04, config.High: 0.25, config.Critical: 0.5,
 }
 
 // Throttle finds the share of each route's requests that is worth running on a
@@ -61,6 +64,8 @@
 	edge           float64 // share at which requests began to fail lately
 	falling        bool    // the latest change was a decrease
 	failed, ended  float64 // decayed counts
+	refused        float64 // decayed sum of the parts of refused onward calls
+	refusing       float64 // latest part of refused onward calls
 	ticked, latest time.Time
 }
 
@@ -69,10 +74,17 @@
 	return &Throttle{clock: clock, shares: map[throttleKey]*throttled{}}
 }
 
-// Observe notes the end of a request; overloaded tells that it failed because
-// of overload further down. It returns the share of such requests that is worth
-// sending, from 0 to 1.
-func (t *Throttle) Observe(route string, i config.Importance, overloaded bool) float64 {
+// Outlook is what is to be expected of a route's requests.
+type Outlook struct {
+	Share   float64 // part of the requests that is worth sending, 0 to 1
+	Failing float64 // part of those sent that fails for overload further down, 0 to 1
+}
+
+// Observe notes the end of a request; overloaded tells that it failed because of
+// overload further down, and refusing which part of onward calls is refused at
+// present. The route's own failures are few and come late; how many of them came
+// with which part of refused calls tells how many there will be.
+func (t *Throttle) Observe(route string, i config.Importance, overloaded bool, refusing float64) Outlook {
 	now := t.clock()
 	key := throttleKey{route, level(i)}
 	t.mu.Lock()
@@ -80,13 +92,15 @@
 	s := t.shares[key]
 	if s == nil {
 		if !overloaded {
-			return 1
+			return Outlook{Share: 1}
 		}
 		s = &throttled{share: 1, edge: 1, ticked: now}
 		t.shares[key] = s
 	}
 	s.latest = now
 	s.ended++
+	s.refused += refusing
+	s.refusing = refusing
 	if overloaded {
 		s.failed++
 	}
@@ -95,13 +109,21 @@
 		s.ticked = now
 		t.forget(now)
 	}
-	return s.share
+	return Outlook{Share: s.share, Failing: s.failing()}
+}
+
+// failing returns the part of requests that is expected to fail.
+func (s *throttled) failing() float64 {
+	if s.refused < throttleEvidence {
+		return s.failed / max(s.ended, 1)
+	}
+	return min(s.refusing*s.failed/s.refused, 1)
 }
 
 // tick changes the share after a number of ticks.
 func (s *throttled) tick(ticks, limit float64) {
-	ticks = min(ticks, float64(throttleMemory/throttleTick))
-	failing := s.failed / s.ended
+	ticks = min(ticks, float64(throttleMemory/throttleTick)/2)
+	failing := s.failing()
 	switch {
 	case failing > limit:
 		if !s.falling {
@@ -115,7 +137,7 @@
 	}
 	s.share = min(max(s.share, throttleFloor), 1)
 	keep := 1 - ticks*float64(throttleTick)/float64(throttleMemory)
-	s.failed, s.ended = s.failed*max(keep, 0), s.ended*max(keep, 0)
+	s.failed, s.ended, s.refused = s.failed*keep, s.ended*keep, s.refused*keep
 }
 
 // forget drops the shares of routes without requests.
--- a/admission/throttle_test.go
+++ b/admission/throttle_test.go
@@ -27,7 +27,7 @@
 		if failed {
 			failCredit--
 		}
-		share = th.Observe("r", i, failed)
+		share = th.Observe("r", i, failed, max(0, 1-float64(capacity)/admitted)).Share
 	}
 	return share
 }
--- a/node/call.go
+++ b/node/call.go
@@ -193,6 +193,7 @@
 	if c.node.cfg.Edge.Contextual() || c.info.Workspace != "" {
 		return
 	}
+	c.node.onward.told(c.in.target.service, r.Failing, now)
 	if r.Overloaded || failed != nil && (failed.Reason == refusal.Overload || failed.Reason == refusal.Deadline) {
 		c.node.onward.note(now)
 	}
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -240,7 +240,12 @@
 	}
 	result.Threshold = d.node.threshold()
 	if d.spent > 0 && !d.node.cfg.Edge.Contextual() && outcome != admission.Cancelled {
-		result.Share = d.node.throttle.Observe(d.hop.Route, d.hop.Importance, result.Overloaded)
+		outlook := d.node.throttle.Observe(d.hop.Route, d.hop.Importance, result.Overloaded, d.node.onward.refusing(d.node.now()))
+		result.Share, result.Failing = outlook.Share, outlook.Failing
+	}
+	if d.backend != nil && !d.node.cfg.Edge.Contextual() {
+		refused := d.backend.admission.Refusing(d.hop.Importance)
+		result.Failing = refused + (1-refused)*result.Failing
 	}
 	return result
 }
--- a/node/share.go
+++ b/node/share.go
@@ -18,6 +18,9 @@
 	// shareWeight is the weight of a newly told share in the average over the
 	// destinations.
 	shareWeight = 0.2
+	// failingWeight is the weight of what a destination tells with one answer in the
+	// part of onward calls that fails.
+	failingWeight = 0.05
 	// shareRetryAfter is told to callers that a share keeps out. It is about the
 	// time in which a share changes noticeably.
 	shareRetryAfter = time.Second
@@ -85,6 +88,44 @@
 type onwardOverload struct {
 	next atomic.Uint32
 	at   [onwardCount]atomic.Int64
+
+	mu      sync.Mutex
+	failing map[string]*toldFailing // by service
+}
+
+// toldFailing is which part of calls to a service is told to fail.
+type toldFailing struct {
+	value float64
+	at    time.Time
+}
+
+// told takes over which part of the calls to a service fails for overload.
+func (o *onwardOverload) told(service string, failing float64, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failing == nil {
+		o.failing = map[string]*toldFailing{}
+	}
+	f := o.failing[service]
+	if f == nil {
+		f = &toldFailing{}
+		o.failing[service] = f
+	}
+	f.value += (failing - f.value) * failingWeight
+	f.at = now
+}
+
+// refusing returns the highest part of calls to any service that fails at present.
+func (o *onwardOverload) refusing(now time.Time) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	most := 0.0
+	for _, f := range o.failing {
+		if now.Sub(f.at) < shareAge {
+			most = max(most, f.value)
+		}
+	}
+	return most
 }
 
 func (o *onwardOverload) note(now time.Time) {
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -64,6 +64,7 @@
 	Overloaded     bool      `cbor:"6,keyasint,omitempty"` // an onward call was refused for overload and the answer is a failure
 	Shed           bool      `cbor:"7,keyasint,omitempty"` // the backend server itself refused the request
 	Share          float64   `cbor:"8,keyasint,omitempty"` // share of such requests that can be completed at present; 0: not known
+	Failing        float64   `cbor:"9,keyasint,omitempty"` // part of such requests that is refused, or fails for refusals further down
 }
 
 // EncodeHeader returns v as a header value: CBOR in unpadded base64.
