Let sixteen nodes hold each bound and lend tokens by demand

Ruled out: the operator's limits. The bound of a workspace is now divided among at most 16 nodes by rendezvous hash; others borrow for 0.3 s of their demand, and borrowed tokens end after 0.5 s.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -47,9 +47,11 @@
 	mu        sync.Mutex
 	rows      map[string]entry               // by node
 	byService map[string][]balancer.Endpoint // replaced, never changed
+	members   []balancer.Endpoint            // replaced, never changed
 	watchers  []func(service string)
 	own       *balancer.Endpoint // what the own row is to say; nil: no backend server
 	changed   chan struct{}      // has a value when own differs from the row
+	version   uint64             // changes with every change of the rows
 	watching  bool               // the store answered the latest call
 }
 
@@ -80,26 +82,13 @@
 	d.watchers = append(d.watchers, f)
 }
 
-// Peers returns the endpoints of all other nodes, also of those without a backend
-// server that serves.
-func (d *Directory) Peers() []balancer.Endpoint {
+// Members returns the endpoints of all nodes that have a row and still their
+// address, also of those without a backend server that serves, and a number that
+// changes with them. The result must not be changed.
+func (d *Directory) Members() (version uint64, nodes []balancer.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	peers := make([]balancer.Endpoint, 0, len(d.rows))
-	for node, e := range d.rows {
-		if node != d.cfg.Node {
-			peers = append(peers, e.endpoint)
-		}
-	}
-	return peers
-}
-
-// Nodes returns the number of nodes that have a row and still their address, at
-// least 1.
-func (d *Directory) Nodes() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return max(len(d.newestByAddress()), 1)
+	return d.version, d.members
 }
 
 // Announce implements node.Directory. Without a backend server the row stays
@@ -262,13 +251,17 @@
 	}
 	next := map[string][]balancer.Endpoint{}
 	newest := d.newestByAddress()
+	members := make([]balancer.Endpoint, 0, len(d.rows))
 	for node, e := range d.rows {
 		if newest[e.endpoint.PeerAddress] != node {
 			continue
 		}
+		members = append(members, e.endpoint)
 		next[e.endpoint.Service] = append(next[e.endpoint.Service], e.endpoint)
 	}
 	d.byService = next
+	d.members = members
+	d.version++
 	watchers := d.watchers
 	d.mu.Unlock()
 	for service := range next {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -80,7 +80,8 @@
 	both := map[string]balancer.State{"a": balancer.Serving, "b": balancer.Serving}
 	await(t, a, both)
 	await(t, b, both)
-	assert.Equal(t, a.Nodes(), 2)
+	_, members := a.Members()
+	assert.Equal(t, len(members), 2)
 
 	a.Announce(endpoint("a", balancer.Draining))
 	await(t, b, map[string]balancer.State{"a": balancer.Draining, "b": balancer.Serving})
@@ -140,5 +141,6 @@
 	await(t, a, map[string]balancer.State{"old": balancer.Serving})
 	f.start("next").Announce(next)
 	await(t, a, map[string]balancer.State{"next": balancer.Serving})
-	assert.Equal(t, a.Nodes(), 1)
+	_, members := a.Members()
+	assert.Equal(t, len(members), 1)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,8 +78,8 @@
 	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log})
 	d.config = distribution.NewFollower(platform.Configuration{Client: client}, log)
 	d.quota = partition.New(partition.Config{
-		Nodes: d.directory.Nodes, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
-		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Peers: d.directory.Peers, Client: peerClient()}).Borrow,
+		Members: d.members, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
+		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Client: peerClient()}).Borrow,
 	})
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
@@ -95,6 +95,12 @@
 	return d, nil
 }
 
+// members returns the nodes among which the bounds of workspaces are divided.
+func (d *Sidecar) members() partition.Members {
+	version, nodes := d.directory.Members()
+	return partition.Members{Version: version, Self: d.settings.Name, Nodes: nodes}
+}
+
 // peers returns the handler of control calls of other nodes.
 func (d *Sidecar) peers() http.Handler {
 	mux := http.NewServeMux()
--- a/partition/lend.go
+++ b/partition/lend.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -26,17 +27,20 @@
 	// borrowMaxPause while nobody has any tokens.
 	borrowPause    = 50 * time.Millisecond
 	borrowMaxPause = 400 * time.Millisecond
-	// keptTokens stay with a node that lends.
-	keptTokens = 1.0
-	// lendPart of the tokens are lent, or one if that is more.
+	// lendPart of the tokens are lent at most, or one if that is more.
 	lendPart = 0.5
+	// borrowedTime is how long borrowed tokens may be used. In a window of the
+	// bound, tokens of this much time before it may be spent besides.
+	borrowedTime = 500 * time.Millisecond
+	// wantTime is for how much of its demand a node borrows at a time.
+	wantTime = 300 * time.Millisecond
 
 	maxLendAnswer = 64 // bytes
 )
 
-// Lend takes tokens out of this node's part of a workspace's bound, for another
-// node. Tokens only move, so the sum over all nodes keeps the bound.
-func (p *Quota) Lend(workspace string) float64 {
+// Lend takes up to the wanted number of tokens out of this node's part of a
+// workspace's bound, for another node.
+func (p *Quota) Lend(workspace string, want float64) float64 {
 	now := p.cfg.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,7 +49,7 @@
 		return 0
 	}
 	p.refill(b, now)
-	lent := min(b.tokens-keptTokens, max(b.tokens*lendPart, 1))
+	lent := math.Floor(min(want, max(b.tokens*lendPart, min(b.tokens, 1))))
 	if lent < 1 {
 		return 0 // less than a token lets no request in
 	}
@@ -74,7 +78,8 @@
 	if round == nil {
 		round = &borrowing{done: make(chan struct{})}
 		b.round = round
-		go p.runRound(workspace, round)
+		want := max(1, math.Ceil(b.demand*wantTime.Seconds()))
+		go p.runRound(workspace, want, b.holders.others, round)
 	}
 	p.mu.Unlock()
 	select {
@@ -85,10 +90,10 @@
 	}
 }
 
-func (p *Quota) runRound(workspace string, round *borrowing) {
+func (p *Quota) runRound(workspace string, want float64, holders []balancer.Endpoint, round *borrowing) {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowLimit)
 	defer cancel()
-	got := p.cfg.Borrow(ctx, workspace)
+	got := p.cfg.Borrow(ctx, workspace, want, holders)
 	now := p.cfg.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,7 +104,8 @@
 	}
 	b.round = nil
 	p.refill(b, now)
-	b.tokens += got
+	b.borrowed += got
+	b.borrowedUntil = now.Add(borrowedTime)
 	if got > 0 {
 		b.pause = 0
 		return
@@ -111,7 +117,12 @@
 // Handler answers other nodes that ask for tokens.
 func (p *Quota) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		lent := p.Lend(r.URL.Query().Get("workspace"))
+		want, err := strconv.ParseFloat(r.URL.Query().Get("want"), 64)
+		if err != nil {
+			http.Error(w, "want is not a number", http.StatusBadRequest)
+			return
+		}
+		lent := p.Lend(r.URL.Query().Get("workspace"), want)
 		// If the answer is lost, so are the tokens, which only tightens the bound.
 		_, _ = io.WriteString(w, strconv.FormatFloat(lent, 'f', 3, 64))
 	})
@@ -120,20 +131,18 @@
 // Borrower asks other nodes for tokens over HTTP.
 type Borrower struct {
 	DataCentre string // asked first
-	Peers      func() []balancer.Endpoint
 	Client     *http.Client
 }
 
-// Borrow asks a few nodes, one of them in the own data centre, until one lends.
-func (b *Borrower) Borrow(ctx context.Context, workspace string) float64 {
-	peers := b.Peers()
+// Borrow asks a few holders, one of them in the own data centre, until one lends.
+func (b *Borrower) Borrow(ctx context.Context, workspace string, want float64, holders []balancer.Endpoint) float64 {
 	for i := range borrowAsks {
-		e, ok := b.choose(peers, i == 0)
+		e, ok := b.choose(holders, i == 0)
 		if !ok || ctx.Err() != nil {
 			return 0
 		}
 		// A node that does not answer has lent nothing that counts here.
-		if got, err := b.ask(ctx, e.PeerAddress, workspace); err == nil && got > 0 {
+		if got, err := b.ask(ctx, e.PeerAddress, workspace, want); err == nil && got > 0 {
 			return got
 		}
 	}
@@ -158,8 +167,8 @@
 	return e, ok
 }
 
-func (b *Borrower) ask(ctx context.Context, address, workspace string) (float64, error) {
-	u := "http://" + address + LendPath + "?workspace=" + url.QueryEscape(workspace)
+func (b *Borrower) ask(ctx context.Context, address, workspace string, want float64) (float64, error) {
+	u := "http://" + address + LendPath + "?workspace=" + url.QueryEscape(workspace) + "&want=" + strconv.FormatFloat(want, 'f', 0, 64)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, nil)
 	if err != nil {
 		return 0, Error.Wrap(err)
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -1,14 +1,16 @@
-// Package partition keeps each workspace's bound across all nodes by giving each
-// node an equal part, and by moving tokens to the nodes that need them.
+// Package partition keeps each workspace's bound across all nodes: a few nodes
+// hold equal parts of it, and tokens move from them to the nodes that need them.
 package partition
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
@@ -18,24 +20,24 @@
 
 // Config describes a Quota.
 type Config struct {
-	// Nodes returns how many nodes share each workspace's bound, at least 1.
-	Nodes func() int
+	// Members returns the present view of the fleet.
+	Members func() Members
 	// Tolerance is the part by which the sum of all nodes may exceed the bound.
 	Tolerance float64
 	// Extra is the number of requests by which the sum of all nodes may exceed
 	// the bound in any window, beside Tolerance.
 	Extra float64
-	// Borrow asks other nodes for tokens of a workspace and returns what they gave;
-	// nil means that nobody is asked.
-	Borrow func(ctx context.Context, workspace string) float64
+	// Borrow asks some of the holders for tokens of a workspace and returns what
+	// they gave; nil means that nobody is asked.
+	Borrow func(ctx context.Context, workspace string, want float64, holders []balancer.Endpoint) float64
 	Clock  func() time.Time // nil means time.Now
 }
 
-// Quota gives each node an equal part of each workspace's rate and burst. A
-// node whose part is used up asks others for tokens, which move from node to
-// node, so the sum keeps the bound also if a message or a node is lost. It spends the permitted excess on rounding,
-// because a small part of a burst holds less than one request. It is safe for
-// concurrent use.
+// Quota is this node's part of each workspace's rate and burst. The holders of a
+// workspace have equal parts. A node without tokens asks holders for some; tokens
+// only move, so the sum keeps the bound also if a message or a node is lost.
+// Borrowed tokens end after a short time, so that nobody hoards them. It is safe
+// for concurrent use.
 type Quota struct {
 	cfg Config
 
@@ -45,19 +47,32 @@
 
 // portion is a node's token bucket for one workspace.
 type portion struct {
-	bound  config.Workspace
-	tokens float64
-	at     time.Time // when tokens was computed
-
-	round    *borrowing    // nil unless other nodes are being asked
-	pause    time.Duration // after the latest round that got nothing
-	askAfter time.Time
+	bound   config.Workspace
+	tokens  float64   // of the own part
+	at      time.Time // when tokens was computed
+	holders holders
+
+	borrowed      float64
+	borrowedUntil time.Time
+	demand        float64 // requests a second of late
+	demandAt      time.Time
+	round         *borrowing    // nil unless other nodes are being asked
+	pause         time.Duration // after the latest round that got nothing
+	askAfter      time.Time
 }
 
 // toleranceUsed is how much of Tolerance the rates use; the rest covers
 // requests that arrive at the edge of a window.
 const toleranceUsed = 0.8
 
+const (
+	// demandMemory is the time constant of the demand.
+	demandMemory = 2 * time.Second
+	// minWait and maxWait bound what a refused caller is told to wait.
+	minWait = 50 * time.Millisecond
+	maxWait = time.Second
+)
+
 // New returns a Quota without workspaces.
 func New(cfg Config) *Quota {
 	if cfg.Clock == nil {
@@ -77,44 +92,52 @@
 		old := p.workspaces[w.Name]
 		if old == nil {
 			// A new node does not know what was used before it started.
-			old = &portion{bound: w, tokens: 1, at: now}
+			old = &portion{bound: w, tokens: 1, at: now, demandAt: now}
 		}
 		p.refill(old, now)
 		old.bound = w
-		old.tokens = min(old.tokens, p.burst(w))
+		old.tokens = min(old.tokens, p.burst(old))
 		next[w.Name] = old
 	}
 	p.workspaces = next
 }
 
 // rate and burst return this node's part of a bound.
-func (p *Quota) rate(w config.Workspace) float64 {
-	return w.Rate * (1 + p.cfg.Tolerance*toleranceUsed) / float64(p.cfg.Nodes())
+func (p *Quota) rate(b *portion) float64 {
+	return b.bound.Rate * (1 + p.cfg.Tolerance*toleranceUsed) * b.holders.part()
 }
 
-func (p *Quota) burst(w config.Workspace) float64 {
-	n := float64(p.cfg.Nodes())
-	return max(w.Burst/n+min(p.cfg.Extra/n, 1), 1)
+func (p *Quota) burst(b *portion) float64 {
+	part := b.holders.part()
+	if part == 0 {
+		return 0
+	}
+	return max(b.bound.Burst*part+min(p.cfg.Extra*part, 1), 1)
 }
 
 func (p *Quota) refill(b *portion, now time.Time) {
-	refilled := min(b.tokens+now.Sub(b.at).Seconds()*p.rate(b.bound), p.burst(b.bound))
-	b.tokens = max(b.tokens, refilled) // borrowed tokens may exceed the own part of the burst
+	members := p.cfg.Members()
+	b.holders.find(&members, b.bound.Name)
+	b.tokens = min(b.tokens+now.Sub(b.at).Seconds()*p.rate(b), p.burst(b))
 	b.at = now
+	if !now.Before(b.borrowedUntil) {
+		b.borrowed = 0
+	}
 }
 
 // Charge takes a token. It may wait a short time for tokens of other nodes. The
 // error is a *refusal.Refusal.
 func (p *Quota) Charge(ctx context.Context, workspace string) (*Charge, error) {
-	charge, err := p.take(workspace)
+	charge, err := p.take(workspace, true)
 	if err != nil && p.borrow(ctx, workspace) {
-		return p.take(workspace)
+		return p.take(workspace, false)
 	}
 	return charge, err
 }
 
-// take takes a token of this node.
-func (p *Quota) take(workspace string) (*Charge, error) {
+// take takes a token that this node has. first tells that the request has not
+// asked before.
+func (p *Quota) take(workspace string, first bool) (*Charge, error) {
 	now := p.cfg.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,15 +145,29 @@
 	if b == nil || b.bound.Rate == 0 {
 		return nil, nil
 	}
+	if first {
+		b.noteDemand(now)
+	}
 	p.refill(b, now)
-	if b.tokens < 1 {
-		wait := time.Duration((1 - b.tokens) / p.rate(b.bound) * float64(time.Second))
-		return nil, refusal.New(refusal.OverRate, "the workspace is over its rate").After(wait)
+	switch {
+	case b.borrowed >= 1:
+		b.borrowed--
+	case b.tokens >= 1:
+		b.tokens--
+	default:
+		wait := time.Duration(float64(b.holders.count) / b.bound.Rate * float64(time.Second))
+		return nil, refusal.New(refusal.OverRate, "the workspace is over its rate").After(min(max(wait, minWait), maxWait))
 	}
-	b.tokens--
 	return &Charge{p: p, workspace: workspace}, nil
 }
 
+// noteDemand counts a request in the demand for a workspace.
+func (b *portion) noteDemand(now time.Time) {
+	passed := now.Sub(b.demandAt).Seconds()
+	b.demandAt = now
+	b.demand = b.demand*math.Exp(-passed/demandMemory.Seconds()) + 1/demandMemory.Seconds()
+}
+
 // Charge is a charged request. Its methods accept nil, which stands
 // for a request of a workspace without a bound.
 type Charge struct {
@@ -149,6 +186,6 @@
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	if b := c.p.workspaces[c.workspace]; b != nil {
-		b.tokens = max(b.tokens, min(b.tokens+1, c.p.burst(b.bound)))
+		b.tokens = min(b.tokens+1, c.p.burst(b))
 	}
 }
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,20 +25,31 @@
 	window    = 5 * time.Second
 )
 
+// members returns the view of node self in a fleet of n.
+func members(n, self int) func() partition.Members {
+	m := partition.Members{Version: 1, Self: name(self)}
+	for i := range n {
+		m.Nodes = append(m.Nodes, balancer.Endpoint{Node: name(i), PeerAddress: name(i)})
+	}
+	return func() partition.Members { return m }
+}
+
+func name(i int) string { return fmt.Sprintf("node-%d", i) }
+
 // spend offers requests to every node of a fleet for the given time, and returns
 // the most that were admitted within any window.
 func spend(nodes, perSecond int, w config.Workspace, length time.Duration, restart func(elapsed time.Duration) bool) int {
 	now := time.Unix(0, 0)
-	fresh := func() *partition.Quota {
+	fresh := func(i int) *partition.Quota {
 		p := partition.New(partition.Config{
-			Nodes: func() int { return nodes }, Tolerance: tolerance, Extra: extra, Clock: func() time.Time { return now },
+			Members: members(nodes, i), Tolerance: tolerance, Extra: extra, Clock: func() time.Time { return now },
 		})
 		p.Configure([]config.Workspace{w})
 		return p
 	}
 	fleet := make([]*partition.Quota, nodes)
 	for i := range fleet {
-		fleet[i] = fresh()
+		fleet[i] = fresh(i)
 	}
 	const step = 10 * time.Millisecond
 	var admitted []int // by step
@@ -46,7 +59,7 @@
 		count := 0
 		for i, p := range fleet {
 			if restart != nil && restart(elapsed) {
-				fleet[i] = fresh()
+				fleet[i] = fresh(i)
 				p = fleet[i]
 			}
 			for range perSecond / 100 {
@@ -92,7 +105,7 @@
 // back, and a workspace without a bound that is refused.
 func TestPartitionCharges(t *testing.T) {
 	now := time.Unix(0, 0)
-	p := partition.New(partition.Config{Nodes: func() int { return 1 }, Clock: func() time.Time { return now }})
+	p := partition.New(partition.Config{Members: members(1, 0), Clock: func() time.Time { return now }})
 	p.Configure([]config.Workspace{{Name: "one", Rate: 2, Burst: 1}, {Name: "free"}})
 	charge, err := p.Charge(context.Background(), "one")
 	assert.NilError(t, err)
@@ -116,13 +129,16 @@
 	fleet := make([]*partition.Quota, n)
 	for i := range fleet {
 		fleet[i] = partition.New(partition.Config{
-			Nodes: func() int { return n }, Tolerance: tolerance, Extra: extra, Clock: clock,
-			Borrow: func(_ context.Context, workspace string) float64 {
-				for step := 1; step < n; step++ {
-					if to := (i + step) % n; reach(i, to) {
-						if got := fleet[to].Lend(workspace); got > 0 {
-							return got
-						}
+			Members: members(n, i), Tolerance: tolerance, Extra: extra, Clock: clock,
+			Borrow: func(_ context.Context, workspace string, want float64, holders []balancer.Endpoint) float64 {
+				for _, h := range holders {
+					var to int
+					_, _ = fmt.Sscanf(h.Node, "node-%d", &to)
+					if !reach(i, to) {
+						continue
+					}
+					if got := fleet[to].Lend(workspace, want); got > 0 {
+						return got
 					}
 				}
 				return 0
@@ -182,25 +198,59 @@
 		}
 	}
 	assert.Assert(t, count >= 1 && count <= 3, "a node that is cut off admitted %d requests of its part", count)
-	assert.Equal(t, fleet[1].Lend("other"), 0.0)
+	assert.Equal(t, fleet[1].Lend("other", 1), 0.0)
 }
 
 // Guards the protocol between nodes: a node that answers badly lends nothing.
 func TestBorrowerOverHTTP(t *testing.T) {
 	now := time.Unix(0, 0)
-	lender := partition.New(partition.Config{Nodes: func() int { return 1 }, Clock: func() time.Time { return now }})
+	lender := partition.New(partition.Config{Members: members(1, 0), Clock: func() time.Time { return now }})
 	lender.Configure([]config.Workspace{{Name: "a b", Rate: 10, Burst: 10}})
 	now = now.Add(time.Minute)
 	good := httptest.NewServer(lender.Handler())
 	defer good.Close()
 	bad := httptest.NewServer(http.NotFoundHandler())
 	defer bad.Close()
-	borrow := func(url string) float64 {
-		b := partition.Borrower{DataCentre: "d", Client: http.DefaultClient, Peers: func() []balancer.Endpoint {
-			return []balancer.Endpoint{{Node: "x", DataCentre: "e", PeerAddress: strings.TrimPrefix(url, "http://")}}
-		}}
-		return b.Borrow(context.Background(), "a b")
+	borrow := func(url string, want float64) float64 {
+		b := partition.Borrower{DataCentre: "d", Client: http.DefaultClient}
+		return b.Borrow(context.Background(), "a b", want, []balancer.Endpoint{
+			{Node: "x", DataCentre: "e", PeerAddress: strings.TrimPrefix(url, "http://")},
+		})
+	}
+	assert.Equal(t, borrow(good.URL, 3), 3.0)
+	assert.Equal(t, borrow(good.URL, 100), 3.0) // half of what is left
+	assert.Equal(t, borrow(bad.URL, 1), 0.0)
+}
+
+// Guards against the small workspaces of a large fleet, whose parts hold less than
+// one request a node: requests within the rate are admitted wherever they come in,
+// and no window exceeds the bound.
+func TestSmallWorkspaceOfLargeFleet(t *testing.T) {
+	now := time.Unix(0, 0)
+	const nodes = 69
+	w := config.Workspace{Name: "w", Rate: 15, Burst: 15}
+	fleet := fleetOf(nodes, func() time.Time { return now }, w, func(int, int) bool { return true })
+	run := func(perSecond int) (admitted, offered int) {
+		random := rand.New(rand.NewPCG(1, 2))
+		for range 500 {
+			now = now.Add(10 * time.Millisecond)
+			for random.Float64() < float64(perSecond)/100 {
+				offered++
+				if _, err := fleet[random.IntN(nodes)].Charge(context.Background(), "w"); err == nil {
+					admitted++
+				}
+				if perSecond <= 100 {
+					break
+				}
+			}
+		}
+		return admitted, offered
 	}
-	assert.Equal(t, borrow(good.URL), 5.0)
-	assert.Equal(t, borrow(bad.URL), 0.0)
+	run(9)
+	admitted, offered := run(9)
+	assert.Assert(t, admitted >= offered*95/100, "%d of %d requests within the rate were admitted", admitted, offered)
+	run(90)
+	admitted, _ = run(90)
+	limit := (w.Rate*window.Seconds()+w.Burst)*(1+tolerance) + extra
+	assert.Assert(t, float64(admitted) <= limit, "admitted %d, limit %v", admitted, limit)
 }
