Handle the requests of one connection side by side; fewer store calls

Ruled out: slots and admission queues (not full). The directory pauses longer after changes in large fleets, and writes its own row without reading it first.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,9 +24,12 @@
 const (
 	// watchWait is how long one call waits for a change of the rows.
 	watchWait = 25 * time.Second
-	// settleTime is the pause after a change, so that several changes in a row
-	// cost one call.
-	settleTime = 150 * time.Millisecond
+	// settleTime is the pause after a change for each settleNodes nodes, up to
+	// maxSettleTime, so that several changes in a row cost one call and the store's
+	// reads do not grow with the square of the fleet.
+	settleTime    = 150 * time.Millisecond
+	settleNodes   = 16
+	maxSettleTime = time.Second
 	// retryTime bounds the random pause after a failed call to the store.
 	retryTime = 600 * time.Millisecond
 	// writeLimit bounds one write of the node's own row.
@@ -44,15 +47,16 @@
 type Directory struct {
 	cfg Config
 
-	mu        sync.Mutex
-	rows      map[string]entry               // by node
-	byService map[string][]balancer.Endpoint // replaced, never changed
-	members   []balancer.Endpoint            // replaced, never changed
-	watchers  []func(service string)
-	own       *balancer.Endpoint // what the own row is to say; nil: no backend server
-	changed   chan struct{}      // has a value when own differs from the row
-	version   uint64             // changes with every change of the rows
-	watching  bool               // the store answered the latest call
+	mu         sync.Mutex
+	rows       map[string]entry               // by node
+	byService  map[string][]balancer.Endpoint // replaced, never changed
+	members    []balancer.Endpoint            // replaced, never changed
+	watchers   []func(service string)
+	own        *balancer.Endpoint // what the own row is to say; nil: no backend server
+	ownVersion uint64             // of the own row as last written; used by write only
+	changed    chan struct{}      // has a value when own differs from the row
+	version    uint64             // changes with every change of the rows
+	watching   bool               // the store answered the latest call
 }
 
 type entry struct {
@@ -170,24 +174,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
-	key := RowPrefix + d.cfg.Node
-	version := uint64(0)
-	row, err := d.cfg.Table.Get(ctx, key)
-	switch {
-	case err == nil:
-		version = row.Version
-	case !store.ErrNotFound.Has(err):
-		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
-		return false
-	}
-	if _, err := d.cfg.Table.Put(ctx, key, version, value); err != nil {
+	version, err := d.putOwn(ctx, value)
+	if err != nil {
 		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
 		return false
 	}
-	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", version+1)
+	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", version)
 	return true
 }
 
+// putOwn writes the own row over the version that is known. Another version was
+// written by a process before this one, or by a call whose answer was lost.
+func (d *Directory) putOwn(ctx context.Context, value []byte) (uint64, error) {
+	key := RowPrefix + d.cfg.Node
+	version, err := d.cfg.Table.Put(ctx, key, d.ownVersion, value)
+	if store.ErrConflict.Has(err) {
+		row, getErr := d.cfg.Table.Get(ctx, key)
+		if getErr != nil {
+			return 0, getErr
+		}
+		version, err = d.cfg.Table.Put(ctx, key, row.Version, value)
+	}
+	if err == nil {
+		d.ownVersion = version
+	}
+	return version, err
+}
+
 // follow applies the changes of all rows.
 func (d *Directory) follow(ctx context.Context) {
 	var revision uint64
@@ -217,11 +230,17 @@
 		revision, synced = changes.Revision, true
 		d.apply(changes.Rows, nil)
 		if len(changes.Rows) > 0 {
-			pause.For(ctx, settleTime)
+			pause.For(ctx, d.settle())
 		}
 	}
 }
 
+// settle returns the pause after a change.
+func (d *Directory) settle() time.Duration {
+	_, nodes := d.Members()
+	return min(max(settleTime*time.Duration(len(nodes))/settleNodes, settleTime), maxSettleTime)
+}
+
 // missing returns removals for the known rows that a snapshot does not hold.
 func (d *Directory) missing(snapshot store.Changes) []store.Row {
 	present := map[string]bool{}
--- /dev/null
+++ b/internal/pipeline/pipeline_test.go
@@ -0,0 +1,160 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// serve runs a server behind a Listener until the end of the test.
+func serve(t *testing.T, h http.HandlerFunc, idle time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := &http.Server{Handler: h, ConnState: State, IdleTimeout: idle}
+	go func() { _ = srv.Serve(NewListener(l)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func answer(t *testing.T, r *bufio.Reader) string {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+// Guards against requests that wait for those before them, and against answers
+// that come in another order than the requests or are mixed.
+func TestSideBySideInOrder(t *testing.T) {
+	var running sync.WaitGroup
+	running.Add(5) // no handler goes on before all of them run
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		running.Done()
+		running.Wait()
+		_, _ = io.WriteString(w, strings.Repeat(r.URL.Path, 5000))
+	}, 0)
+	conn, r := dial(t, address)
+	for i := range 5 {
+		_, err := io.WriteString(conn, get(fmt.Sprintf("/%d", i)))
+		assert.NilError(t, err)
+	}
+	for i := range 5 {
+		assert.Equal(t, answer(t, r), strings.Repeat(fmt.Sprintf("/%d", i), 5000))
+	}
+}
+
+// Guards against a connection that cannot be used again, with requests with
+// bodies before and after others.
+func TestMixedRequests(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, r.Method+r.URL.Path+string(body))
+	}, 0)
+	conn, r := dial(t, address)
+	send := func(text string) {
+		_, err := io.WriteString(conn, text)
+		assert.NilError(t, err)
+	}
+	for range 20 {
+		send(get("/a"))
+		assert.Equal(t, answer(t, r), "GET/a")
+	}
+	send(get("/1") + get("/2") + "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + get("/3"))
+	for _, want := range []string{"GET/1", "GET/2", "POST/pabc", "GET/3"} {
+		assert.Equal(t, answer(t, r), want)
+	}
+	send("POST /q HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n")
+	assert.Equal(t, answer(t, r), "POST/qxy")
+}
+
+// Guards against a client that has left and whose requests go on, also those that
+// came behind others.
+func TestClientGone(t *testing.T) {
+	ended := make(chan string, 3)
+	started := make(chan struct{}, 3)
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+		ended <- r.URL.Path
+	}, 0)
+	conn, _ := dial(t, address)
+	_, err := io.WriteString(conn, get("/0")+get("/1")+get("/2"))
+	assert.NilError(t, err)
+	for range 3 {
+		<-started
+	}
+	_ = conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for range 3 {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			t.Fatal("a request of a client that has left goes on")
+		}
+	}
+}
+
+// Guards against an answer that is lost because the server closes the connection,
+// and against one that is sent behind the answer that closes it.
+func TestAnswerThatCloses(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/close" {
+			w.Header().Set("Connection", "close")
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, 0)
+	conn, r := dial(t, address)
+	_, err := io.WriteString(conn, get("/0")+get("/close")+get("/2"))
+	assert.NilError(t, err)
+	assert.Equal(t, answer(t, r), "/0")
+	assert.Equal(t, answer(t, r), "/close")
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against connections that stay open without use.
+func TestIdleConnectionEnds(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }, 50*time.Millisecond)
+	conn, r := dial(t, address)
+	_, err := io.WriteString(conn, get("/0")+get("/1"))
+	assert.NilError(t, err)
+	assert.Equal(t, answer(t, r), "ok")
+	assert.Equal(t, answer(t, r), "ok")
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against requests that are no HTTP and get no answer of the server.
+func TestMalformedRequest(t *testing.T) {
+	address := serve(t, func(http.ResponseWriter, *http.Request) {}, 0)
+	conn, r := dial(t, address)
+	_, err := io.WriteString(conn, "nonsense\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+}
--- a/node/listener.go
+++ b/node/listener.go
@@ -59,7 +59,7 @@
 
 // CloseWrite lets the server end a connection without losing its last answer.
 func (c *typedErrorConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
+	"github.com/dotterelseam/dotterelseam/internal/pipeline"
 )
 
 const (
@@ -67,12 +68,18 @@
 	n.throttle = admission.NewThrottle(cfg.Clock)
 	n.backend.lifetime = cfg.AnnouncementLifetime
 	cfg.Directory.Watch(n.updateDestination)
+	n.cfg.Callers = pipeline.NewListener(n.cfg.Callers)
 	n.servers = []*http.Server{
 		n.server(n.serveCallers, cfg.IdleTimeout),
 		n.server(n.serveLocal, peersIdleTimeout),
 		n.server(n.servePeers, peersIdleTimeout),
 		n.server(n.operators().ServeHTTP, cfg.IdleTimeout),
 	}
+	n.servers[0].ConnState = func(c net.Conn, state http.ConnState) {
+		if t, ok := c.(*typedErrorConn); ok {
+			pipeline.State(t.Conn, state)
+		}
+	}
 	return n, nil
 }
 
@@ -100,7 +107,7 @@
 		}
 		go func() { failed <- n.servers[i].Serve(typedErrors{l}) }()
 	}
-	n.log.event("node_started", "id", n.cfg.ID, "callers", n.cfg.Callers.Addr().String(), "peers", n.cfg.PeerAddress)
+	n.log.event("node_started", "id", n.cfg.ID, "callers", n.cfg.Callers.Addr().String(), "peers", n.cfg.PeerAddress, "operators", n.cfg.Operators.Addr().String())
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	defer n.close()
