--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,7 +44,7 @@
 }
 
 func (e *env) commands() []subcommands.Command {
-	return []subcommands.Command{&checkCommand{env: e}, &publishCommand{env: e}, &keysCommand{env: e}, &quotaCommand{env: e}, &statusCommand{env: e}, &demoCommand{env: e}, &reportCommand{env: e}, &experimentCommand{env: e}}
+	return []subcommands.Command{&checkCommand{env: e}, &publishCommand{env: e}, &keysCommand{env: e}, &quotaCommand{env: e}, &statusCommand{env: e}, &demoCommand{env: e}, &reportCommand{env: e}, &explainCommand{env: e}, &experimentCommand{env: e}}
 }
 
 // within returns the env of the commands of a group.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -174,3 +175,18 @@
 		assert.Assert(t, strings.Contains(string(page), fmt.Sprintf("| %s | %s |", code, meaning)), "%s %s", code, meaning)
 	}
 }
+
+// Guards against a story that is not found without an exit code that says so.
+func TestExplain(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "a.log")
+	assert.NilError(t, os.WriteFile(log, []byte("ts=2026-10-05T16:42:38.311Z event=request_failed request_id=ab12 reason=overload\n"), 0o600))
+	code, out, _ := run("explain", "ab12", log)
+	assert.Equal(t, code, cli.ExitDone)
+	assert.Assert(t, strings.Contains(out, "a.log event=request_failed request_id=ab12 reason=overload"), out)
+	for _, args := range [][]string{{"explain", "cd34", log}, {"explain", "ab12", log + ".missing"}} {
+		code, _, errOut := run(args...)
+		assert.Equal(t, code, cli.ExitFailed, errOut)
+	}
+	code, _, _ = run("explain", "ab12")
+	assert.Equal(t, code, cli.ExitUsage)
+}
