--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,404 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/dotterelseam/dotterelseam/internal/standin"
+	"github.com/dotterelseam/dotterelseam/settings"
+)
+
+const waitLimit = 20 * time.Second
+
+// server is a backend server that speaks the platform's protocol.
+type server struct {
+	*httptest.Server
+	id     string
+	answer atomic.Pointer[http.HandlerFunc] // nil: a good answer
+
+	mu   sync.Mutex
+	seen []http.Header // of requests that reached it
+}
+
+func newServer(t *testing.T, id string) *server {
+	s := &server{id: id}
+	s.Server = httptest.NewServer(s)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s
+}
+
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.seen = append(s.seen, r.Header.Clone())
+	s.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	if f := s.answer.Load(); f != nil {
+		(*f)(w, r)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Server-Seal", "seal")
+	_, _ = io.WriteString(w, s.id+r.Method+r.URL.Path+string(body))
+}
+
+func (s *server) behave(f http.HandlerFunc) { s.answer.Store(&f) }
+
+func (s *server) requests() []http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// fleet is a store and hosts with a node and a backend server each.
+type fleet struct {
+	t     *testing.T
+	stand *standin.Platform
+	url   string
+}
+
+type host struct {
+	*server
+	fleet   *fleet
+	sidecar *Sidecar
+	service string
+	beats   atomic.Int64
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, stand: standin.NewPlatform()}
+	srv := httptest.NewServer(f.stand.Handler())
+	t.Cleanup(srv.CloseClientConnections)
+	f.url = srv.URL
+	return f
+}
+
+func (f *fleet) configure(version int, tenants string) {
+	route := func(host, kind, service, more string) string {
+		return fmt.Sprintf(`%q:{"hostname":%q,"prefix":"/","kind":%q,"timeout":"2s","targetLatency":"1s","priority":1,"service":%q,"attempts":2%s}`,
+			host, host, kind, service, more)
+	}
+	routes := []string{
+		route("read.example", "idempotent", "shop", ""), route("order.example", "non_idempotent", "shop", ""),
+		route("open.example", "idempotent", "shop", `,"allowAnonymous":true`), route("none.example", "idempotent", "ghost", ""),
+	}
+	f.stand.Write("op", "config", fmt.Appendf(nil, `{"version":"r%d","routes":{%s},"services":{"shop":{"maxConnections":50}},"limits":{},"tenants":{%s}}`,
+		version, strings.Join(routes, ","), tenants))
+}
+
+const farm = `"farm":{"apiKeys":["k1"],"ratePerS":1000,"burst":1000,"priority":1}`
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// host starts a node and its backend server, which announces itself once.
+func (f *fleet) host(name, service string) *host {
+	f.t.Helper()
+	h := &host{server: newServer(f.t, name), fleet: f, service: service}
+	var err error
+	h.sidecar, err = New(&settings.Sidecar{
+		Name: name, DataCentre: "dudley", Region: "midlands", Service: service, Platform: f.url,
+		Addresses: settings.SidecarAddresses{
+			Callers: freeAddress(f.t), Peers: freeAddress(f.t), Announcements: freeAddress(f.t), Ready: freeAddress(f.t), Operators: freeAddress(f.t),
+		},
+		AnnouncementInterval: time.Hour, Memory: 1 << 30, StopLimit: waitLimit,
+	}, logr.Discard())
+	assert.NilError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = h.sidecar.Run(ctx) }()
+	f.t.Cleanup(func() { cancel(); <-done })
+	h.announce("ready")
+	return h
+}
+
+func (h *host) announce(phase string) {
+	h.fleet.t.Helper()
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","capacity":4,"phase":%q,"coldRemaining":"0ms","sequence":%d}`,
+		h.service, h.Listener.Addr().String(), phase, h.beats.Add(1))
+	resp, err := http.Post("http://"+h.sidecar.settings.Addresses.Announcements+"/-/Instances.Heartbeat/"+h.id, "application/json", strings.NewReader(body))
+	assert.NilError(h.fleet.t, err)
+	defer resp.Body.Close()
+	assert.Equal(h.fleet.t, resp.StatusCode, http.StatusOK)
+}
+
+// answer is what a caller gets; status 0 stands for a broken connection.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+var attempts atomic.Int64
+
+// call sends a request to a node as a caller does.
+func (h *host) call(method, hostName, key string, more ...string) answer {
+	req, err := http.NewRequest(method, "http://"+h.sidecar.settings.Addresses.Callers+"/x", nil)
+	assert.NilError(h.fleet.t, err)
+	req.Host = hostName
+	req.Header.Set("X-Attempt-Id", "a"+strconv.FormatInt(attempts.Add(1), 10))
+	req.Header.Set("X-Deadline-Ms", "3000")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{}
+	}
+	return answer{resp.StatusCode, string(body), resp.Header}
+}
+
+// until repeats a check until it returns "".
+func until(t *testing.T, check func() string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if problem := check(); problem != "" {
+			return poll.Continue("%s", problem)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitLimit))
+}
+
+// serves waits until a node serves a route.
+func (h *host) serves(hostName string) {
+	h.fleet.t.Helper()
+	until(h.fleet.t, func() string {
+		if a := h.call("GET", hostName, "k1"); a.status != 200 {
+			return fmt.Sprintf("status %d", a.status)
+		}
+		return ""
+	})
+}
+
+// Guards against a key that reaches a backend server, and against headers of the
+// caller that stand for what the node has to say, on the own host and across one hop.
+func TestWhatBackendServersSee(t *testing.T) {
+	f := newFleet(t)
+	shop, other := f.host("shop-1", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	for _, entry := range []*host{shop, other} {
+		entry.serves("read.example")
+		a := entry.call("GET", "read.example", "k1", "X-Tenant", "forged", "X-Caller-Service", "forged", "X-Expect-Instance", "forged", "X-Other", "kept")
+		assert.Equal(t, a.status, 200)
+		assert.Equal(t, a.body, "shop-1GET/x")
+		assert.Equal(t, a.header.Get("X-Server-Seal"), "seal")
+		seen := shop.requests()
+		got := seen[len(seen)-1]
+		assert.Equal(t, got.Get("Authorization"), "")
+		assert.Equal(t, got.Get("X-Tenant"), "farm")
+		assert.Equal(t, got.Get("X-Caller-Service"), entry.service)
+		assert.Equal(t, got.Get("X-Expect-Instance"), "shop-1")
+		assert.Equal(t, got.Get("X-Other"), "kept")
+		left, err := strconv.Atoi(got.Get("X-Deadline-Ms"))
+		assert.NilError(t, err)
+		assert.Assert(t, left > 0 && left <= 2000, "the route's timeout is 2 s, the server was told %d ms", left)
+		for name := range got {
+			assert.Assert(t, !strings.HasPrefix(name, "Dotterel-"), name)
+		}
+	}
+	assert.Equal(t, shop.call("GET", "open.example", "").status, 200)
+}
+
+// Guards against refusals with the wrong promise.
+func TestRefusals(t *testing.T) {
+	f := newFleet(t)
+	shop := f.host("shop-1", "shop")
+	assert.Equal(t, shop.call("GET", "read.example", "k1").status, 503) // no configuration yet
+	ready := func() int {
+		resp, err := http.Get("http://" + shop.sidecar.settings.Addresses.Ready + "/-/readyz")
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	assert.Equal(t, ready(), 503)
+	f.configure(4, farm+`,"small":{"apiKeys":["k2"],"ratePerS":0.001,"burst":1}`)
+	shop.serves("read.example")
+	assert.Equal(t, ready(), 200)
+	for _, tc := range []struct {
+		name, host, key string
+		status          int
+	}{
+		{"no key", "read.example", "", 401}, {"unknown key", "read.example", "k9", 401},
+		{"no route", "gone.example", "k1", 404}, {"no backend server", "none.example", "k1", 503},
+	} {
+		a := shop.call("GET", tc.host, tc.key)
+		assert.Equal(t, a.status, tc.status, tc.name)
+		assert.Equal(t, a.header.Get("Retry-After") != "", tc.status == 503, tc.name)
+	}
+	limited := 0
+	for range 5 {
+		if a := shop.call("GET", "read.example", "k2"); a.status == 429 {
+			limited++
+			assert.Assert(t, a.header.Get("Retry-After") != "")
+		}
+	}
+	assert.Assert(t, limited >= 3, "%d of 5 requests over the rate were refused", limited)
+	f.configure(9, `"other":{"apiKeys":["k3"]}`)
+	until(t, func() string {
+		if a := shop.call("GET", "read.example", "k1"); a.status != 401 {
+			return fmt.Sprintf("a withdrawn key gets status %d", a.status)
+		}
+		return ""
+	})
+}
+
+// Guards against answers that are spoilt, of another request, or lost, and that
+// reach a caller as something else; and against a request that runs twice.
+func TestBadAnswers(t *testing.T) {
+	hijack := func(w http.ResponseWriter, text string) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		answer http.HandlerFunc
+		status int // of a request that may run once
+		ran    bool
+	}{
+		{"success without seal", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }, 502, true},
+		{"of another request", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Attempt-Id", "zzz")
+			w.Header().Set("X-Server-Seal", "seal")
+			w.WriteHeader(200)
+		}, 502, true},
+		{"cut off", func(w http.ResponseWriter, r *http.Request) {
+			hijack(w, "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\nContent-Length: 100\r\n\r\nshort")
+		}, 502, true},
+		{"no HTTP", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "nonsense\r\n\r\n") }, 502, true},
+		{"none", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "") }, 502, true},
+		{"shed", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(503)
+		}, 503, false},
+		{"another server", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 503, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t)
+			shop := f.host("shop-1", "shop")
+			f.configure(4, farm)
+			shop.serves("read.example")
+			shop.behave(tc.answer)
+			before := len(shop.requests())
+			a := shop.call("POST", "order.example", "k1")
+			assert.Equal(t, a.status, tc.status)
+			assert.Equal(t, a.header.Get("X-Server-Seal"), "")
+			if tc.ran {
+				assert.Equal(t, len(shop.requests())-before, 1)
+			}
+		})
+	}
+}
+
+// Guards against requests that fail although another backend server could run
+// them, and against more tries than the route allows.
+func TestRetriesElsewhere(t *testing.T) {
+	f := newFleet(t)
+	bad, good, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	bad.behave(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(503)
+	})
+	until(t, func() string {
+		for range 10 {
+			if a := entry.call("GET", "read.example", "k1"); a.status != 200 || a.body != "shop-2GET/x" {
+				return fmt.Sprintf("status %d", a.status)
+			}
+		}
+		return ""
+	})
+	assert.Assert(t, len(good.requests()) >= 10)
+}
+
+// Guards against new work for a backend server that has said that it leaves, and
+// against one that is used again after a late announcement.
+func TestDrain(t *testing.T) {
+	f := newFleet(t)
+	leaving, staying, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	entry.serves("read.example")
+	leaving.serves("read.example")
+	for _, h := range []*host{leaving, entry} {
+		until(t, func() string {
+			if n := len(h.sidecar.directory.Endpoints("shop")); n != 2 {
+				return fmt.Sprintf("%d endpoints are known", n)
+			}
+			return ""
+		})
+	}
+	leaving.announce("draining")
+	before := len(leaving.requests())
+	leaving.beats.Store(0)
+	leaving.announce("ready") // with a sequence that was used before
+	for range 20 {
+		assert.Equal(t, entry.call("GET", "read.example", "k1").body, "shop-2GET/x")
+		assert.Equal(t, leaving.call("GET", "read.example", "k1").body, "shop-2GET/x")
+	}
+	assert.Equal(t, len(leaving.requests()), before)
+	assert.Assert(t, len(staying.requests()) >= 40)
+}
+
+// Guards against requests that are lost when a node is stopped, and against a
+// node that counts as ready while it stops.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t)
+	shop := f.host("shop-1", "shop")
+	f.configure(4, farm)
+	shop.serves("read.example")
+	release := make(chan struct{})
+	shop.behave(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.Header().Set("X-Server-Seal", "seal")
+		_, _ = io.WriteString(w, "late")
+	})
+	got := make(chan answer, 1)
+	go func() { got <- shop.call("POST", "order.example", "k1") }()
+	until(t, func() string {
+		if n := len(shop.requests()); n < 2 {
+			return "the request has not arrived"
+		}
+		return ""
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- shop.sidecar.Stop(context.Background()) }()
+	until(t, func() string {
+		if shop.sidecar.node.Serving() {
+			return "the node still counts as ready"
+		}
+		return ""
+	})
+	close(release)
+	a := <-got
+	assert.Equal(t, a.status, 200)
+	assert.Equal(t, a.body, "late")
+	assert.NilError(t, <-stopped)
+}
