--- a/cmd/dotterelnode/main.go
+++ b/cmd/dotterelnode/main.go
@@ -5,79 +5,39 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/dotterelseam/dotterelseam/internal/daemon"
 	"github.com/dotterelseam/dotterelseam/internal/logging"
-	"github.com/dotterelseam/dotterelseam/node"
+	"github.com/dotterelseam/dotterelseam/internal/process"
 	"github.com/dotterelseam/dotterelseam/settings"
 )
 
-const (
-	exitStopped   = 0
-	exitFailed    = 1
-	exitUsage     = 2
-	exitSettings  = 3
-	exitStopLimit = 8
-)
-
-// logLimit bounds the time to write the last log lines.
-const logLimit = 500 * time.Millisecond
-
 func main() {
 	path := flag.String("settings", "", "path of the YAML settings `file`")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 {
 		flag.Usage()
-		os.Exit(exitUsage)
+		os.Exit(process.ExitUsage)
 	}
 	s, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
+		os.Exit(process.ExitSettings)
 	}
 	os.Exit(run(s))
 }
 
 func run(s *settings.Settings) int {
 	lines := logging.NewWriter(os.Stderr)
-	defer lines.Close(logLimit)
+	defer lines.Close(process.LogLimit)
 	log := logging.New(lines, s.LogLevel)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		log.Error(err, "start_failed")
-		return exitFailed
-	}
-	stopped := make(chan error, 1)
-	go func() { stopped <- stopOnSignal(d, s) }()
-	if err := d.Run(context.Background()); err != nil {
-		log.Error(err, "run_failed")
-		return exitFailed
-	}
-	if err := <-stopped; node.ErrStopLimit.Has(err) {
-		log.Error(err, "stop_limit_passed")
-		return exitStopLimit
-	}
-	return exitStopped
-}
-
-// stopOnSignal stops the daemon at the first SIGTERM or SIGINT.
-func stopOnSignal(d *daemon.Daemon, s *settings.Settings) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	ctx, cancel := context.WithTimeout(context.Background(), s.StopLimit)
-	defer cancel()
-	err := d.Stop(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return node.ErrStopLimit.Wrap(err)
+		return process.ExitFailed
 	}
-	return err
+	return process.Run(d, log, s.StopLimit, func() { log.Info("settings_not_reloaded") })
 }
