Take newer configurations from other nodes while the store is away

Cause: a node that the store turned away kept withdrawn keys and dropped routes until the store let it in again, though its peers knew better; one that restarted meanwhile served nothing. Versions now travel with hops and results. Test: TestConfigurationFromOtherNodes.

--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
@@ -21,6 +24,18 @@
 	followBackoff = 500 * time.Millisecond
 )
 
+// ConfigurationPath is where nodes read the configuration in force at another one,
+// on the peers listener.
+const ConfigurationPath = "/v1/configuration"
+
+const (
+	fetchLimit = 2 * time.Second
+	maxFetched = 16 << 20 // bytes
+)
+
+// ErrFetch is the class of configurations that could not be read from another node.
+var ErrFetch = errs.Class("configuration of another node")
+
 // Source holds a configuration under rising versions, which others write.
 type Source interface {
 	// Read returns the newest configuration, encoded, and the revision from which
@@ -46,6 +61,8 @@
 	current  atomic.Pointer[followed]
 	watchers []func(*config.Snapshot)
 	up       atomic.Bool
+	fetch    func(ctx context.Context, address string) ([]byte, error) // nil: other nodes are not asked
+	asking   atomic.Bool
 }
 
 // followed is a configuration with the form in which it is passed on.
@@ -77,9 +94,72 @@
 	return nil
 }
 
+// Reachable reports whether the source answered the latest call.
+func (f *Follower) Reachable() bool { return f.up.Load() }
+
 // Watch calls w after each change. It must be called before Run.
 func (f *Follower) Watch(w func(*config.Snapshot)) { f.watchers = append(f.watchers, w) }
 
+// FetchFrom sets how the configuration in force at another node is read. It must
+// be called before Run.
+func (f *Follower) FetchFrom(fetch func(ctx context.Context, address string) ([]byte, error)) {
+	f.fetch = fetch
+}
+
+// Heard tells that the node at address has a version in force. While the source
+// does not answer, a newer one is taken over from there. It does not block.
+func (f *Follower) Heard(version uint64, address string) {
+	if s := f.Current(); f.up.Load() && s != nil || s != nil && version <= s.Version || f.fetch == nil {
+		return
+	}
+	if !f.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.asking.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+		defer cancel()
+		raw, err := f.fetch(ctx, address)
+		if err != nil {
+			f.log.Info("configuration_not_fetched", "from", address, "version", version, "error", err.Error())
+			return
+		}
+		f.Offer(raw, address)
+	}()
+}
+
+// Handler serves the configuration in force, encoded, to other nodes.
+func (f *Follower) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw := f.Encoded()
+		if raw == nil {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = w.Write(raw) // a write error means that the reader is gone
+	})
+}
+
+// ReadFrom reads the configuration that Handler serves at a peers address.
+func ReadFrom(client *http.Client) func(ctx context.Context, address string) ([]byte, error) {
+	return func(ctx context.Context, address string) ([]byte, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfigurationPath, nil)
+		if err != nil {
+			return nil, ErrFetch.Wrap(err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return nil, ErrFetch.Wrap(err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return nil, ErrFetch.New("%s answered with status %d", address, resp.StatusCode)
+		}
+		raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFetched))
+		return raw, ErrFetch.Wrap(err)
+	}
+}
+
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var revision uint64
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,13 +74,14 @@
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory)))
 	d := &Sidecar{settings: *s, log: log, metrics: metrics.NewRegistry(), left: make(chan struct{})}
-	client := platform.New(platform.Config{URL: s.Platform})
+	client, peers := platform.New(platform.Config{URL: s.Platform}), peerClient()
 	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log})
 	d.config = distribution.NewFollower(platform.Configuration{Client: client}, log)
 	d.quota = partition.New(partition.Config{
 		Members: d.members, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
-		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Client: peerClient()}).Borrow,
+		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Client: peers}).Borrow,
 	})
+	d.config.FetchFrom(distribution.ReadFrom(peers))
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -105,6 +106,7 @@
 func (d *Sidecar) peers() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+partition.LendPath, d.quota.Handler())
+	mux.Handle("GET "+distribution.ConfigurationPath, d.config.Handler())
 	return mux
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -402,3 +402,43 @@
 	assert.Equal(t, a.body, "late")
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against a node that the store turns away and that goes on with withdrawn
+// keys although other nodes know better, and against one that restarts meanwhile
+// and serves nothing.
+func TestConfigurationFromOtherNodes(t *testing.T) {
+	f := newFleet(t)
+	shop := f.host("shop-1", "shop")
+	var away atomic.Bool
+	turned := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		f.stand.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(turned.CloseClientConnections)
+	store := f.url
+	f.url = turned.URL
+	entry := f.host("other-1", "other")
+	f.url = store
+	f.configure(4, farm)
+	shop.serves("read.example")
+	entry.serves("read.example")
+	away.Store(true)
+	turned.CloseClientConnections()
+	until(t, func() string {
+		if entry.sidecar.config.Reachable() {
+			return "the node has not noticed that the store turns it away"
+		}
+		return ""
+	})
+	f.configure(9, `"new":{"apiKeys":["k5"]}`)
+	until(t, func() string {
+		if a := entry.call("GET", "read.example", "k1"); a.status != 401 {
+			return fmt.Sprintf("a withdrawn key gets status %d", a.status)
+		}
+		return ""
+	})
+	assert.Equal(t, entry.call("GET", "read.example", "k5").status, 200)
+}
--- a/node/call.go
+++ b/node/call.go
@@ -128,6 +128,7 @@
 		}
 		f = c.incomplete(ctx, a)
 	}
+	c.node.heard(f.result.Version, pick.Endpoint().PeerAddress)
 	c.settleFailure(pick, f, c.node.now().Sub(started))
 	c.exclude = append(c.exclude, pick.Endpoint().Node)
 	return nil, f
@@ -159,6 +160,9 @@
 	}
 	hop := hopFor(c.info, c.in.target.service, c.route, c.admitted, left, given, c.in.body.length)
 	hop.Origin, hop.Target = c.node.cfg.Service, e.Node
+	if c.node.versions != nil {
+		hop.Version, hop.From = c.node.version(), c.node.cfg.PeerAddress
+	}
 	hop.WaitMicros = c.maxWait().Microseconds()
 	if e.Node == c.node.cfg.ID {
 		return c.node.deliver(ctx, hop, c.in)
@@ -247,6 +251,7 @@
 // unused attempts back.
 func (c *call) settle(ctx context.Context, a *answer) {
 	if a.pick != nil {
+		c.node.heard(a.result.Version, a.pick.Endpoint().PeerAddress)
 		result := balancer.Result{Latency: a.latency, Kind: balancer.OK}
 		result.Failing = a.status >= http.StatusInternalServerError && !a.result.Overloaded
 		if a.lost || !a.result.Complete {
--- a/node/callers.go
+++ b/node/callers.go
@@ -298,11 +298,7 @@
 // refuseUnaccepted answers a request that did not become a call.
 func (n *Node) refuseUnaccepted(w http.ResponseWriter, r *http.Request, from *edge.Accepted, refused *refusal.Refusal) {
 	n.metrics.refused(refused)
-	version := uint64(0)
-	if s := n.cfg.Configuration.Current(); s != nil {
-		version = s.Version
-	}
-	n.log.unaccepted(from.RequestID, from.Service, version, refused)
+	n.log.unaccepted(from.RequestID, from.Service, n.version(), refused)
 	n.writeRefusal(w, r, nil, refused)
 }
 
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -239,6 +239,9 @@
 		d.ticket.Release(outcome)
 	}
 	result.Threshold = d.node.threshold()
+	if d.node.versions != nil {
+		result.Version = d.node.version()
+	}
 	if d.spent > 0 && !d.node.cfg.Edge.Contextual() && outcome != admission.Cancelled {
 		outlook := d.node.throttle.Observe(d.hop.Route, d.hop.Importance, result.Overloaded, d.node.onward.refusing(d.node.now()))
 		result.Share, result.Failing = outlook.Share, outlook.Failing
--- a/node/deps.go
+++ b/node/deps.go
@@ -17,6 +17,14 @@
 	Current() *config.Snapshot
 }
 
+// VersionListener is a Configuration that wants to know which versions other
+// nodes have in force.
+type VersionListener interface {
+	// Heard tells that the node at a peers address has a version in force. It does
+	// not block.
+	Heard(version uint64, address string)
+}
+
 // KeyLookup maps a caller's key to its workspace. The error is a *refusal.Refusal.
 type KeyLookup interface {
 	Lookup(key string) (workspace string, err error)
--- a/node/log.go
+++ b/node/log.go
@@ -127,16 +127,12 @@
 		return
 	}
 	now := c.node.now()
-	version := uint64(0)
-	if s := c.node.cfg.Configuration.Current(); s != nil {
-		version = s.Version
-	}
 	l.logger.Info(event, append([]any{
 		"request_id", c.id(), "service", c.in.target.service, "route", c.route.Pattern, "workspace", c.info.Workspace,
 		"importance", c.info.Importance.String(),
 	}, append(outcome, "tries", c.tries, "tried", strings.Join(c.tried, ","), "took_ms", now.Sub(c.arrived),
 		"left_ms", c.info.Deadline.Sub(now), "attempts_left", c.budget.Left(), "retry_tokens", c.to.retries.Tokens(),
-		"version", version, "skipped", skipped)...)...)
+		"version", c.node.version(), "skipped", skipped)...)...)
 }
 
 // logRetry writes the line of a call that is tried again.
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 
 	destinations destinations
 	throttle     *admission.Throttle
+	versions     VersionListener // nil if the configuration does not listen
 	onward       onwardOverload
 
 	leaving      atomic.Bool // a stop was announced
@@ -66,6 +67,7 @@
 		stopped: make(chan struct{}),
 	}
 	n.throttle = admission.NewThrottle(cfg.Clock)
+	n.versions, _ = cfg.Configuration.(VersionListener)
 	n.backend.lifetime = cfg.AnnouncementLifetime
 	cfg.Directory.Watch(n.updateDestination)
 	n.cfg.Callers = pipeline.NewListener(n.cfg.Callers)
@@ -205,6 +207,21 @@
 	}
 }
 
+// version returns the version of the configuration in force, or 0.
+func (n *Node) version() uint64 {
+	if s := n.cfg.Configuration.Current(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// heard passes on which version another node has in force.
+func (n *Node) heard(version uint64, address string) {
+	if n.versions != nil && version > n.version() && address != "" {
+		n.versions.Heard(version, address)
+	}
+}
+
 // background runs f; a planned stop waits for it.
 func (n *Node) background(f func()) {
 	n.work.Go(f)
--- a/node/peers.go
+++ b/node/peers.go
@@ -37,6 +37,7 @@
 		})
 		return
 	}
+	n.heard(hop.Version, hop.From)
 	n.serveHop(w, r, &hop)
 }
 
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -37,6 +37,8 @@
 	Admitted       bool              `cbor:"10,keyasint"`           // part of a call tree that was admitted before
 	ContentLength  int64             `cbor:"11,keyasint"`           // promised request body length, bytes; -1 if unknown
 	WaitMicros     int64             `cbor:"13,keyasint,omitempty"` // longest time in the admission queue, microseconds; 0 means the default
+	Version        uint64            `cbor:"15,keyasint,omitempty"` // configuration in force at the sender
+	From           string            `cbor:"16,keyasint,omitempty"` // the sender's peers listener, ip:port
 	Target         string            `cbor:"14,keyasint,omitempty"` // node that the request is meant for
 	Origin         string            `cbor:"12,keyasint,omitempty"` // service of the host that the request came in on
 }
@@ -58,13 +60,14 @@
 type HopResult struct {
 	AttemptsUnused int       `cbor:"1,keyasint"` // part of Hop.Attempts that was not used
 	Threshold      Threshold `cbor:"2,keyasint"`
-	Complete       bool      `cbor:"3,keyasint"`           // the whole body was sent
-	Retried        bool      `cbor:"4,keyasint,omitempty"` // a retry was already made below; the caller must not retry
-	Draining       bool      `cbor:"5,keyasint,omitempty"` // the backend server is leaving
-	Overloaded     bool      `cbor:"6,keyasint,omitempty"` // an onward call was refused for overload and the answer is a failure
-	Shed           bool      `cbor:"7,keyasint,omitempty"` // the backend server itself refused the request
-	Share          float64   `cbor:"8,keyasint,omitempty"` // share of such requests that can be completed at present; 0: not known
-	Failing        float64   `cbor:"9,keyasint,omitempty"` // part of such requests that is refused, or fails for refusals further down
+	Complete       bool      `cbor:"3,keyasint"`            // the whole body was sent
+	Retried        bool      `cbor:"4,keyasint,omitempty"`  // a retry was already made below; the caller must not retry
+	Draining       bool      `cbor:"5,keyasint,omitempty"`  // the backend server is leaving
+	Overloaded     bool      `cbor:"6,keyasint,omitempty"`  // an onward call was refused for overload and the answer is a failure
+	Shed           bool      `cbor:"7,keyasint,omitempty"`  // the backend server itself refused the request
+	Share          float64   `cbor:"8,keyasint,omitempty"`  // share of such requests that can be completed at present; 0: not known
+	Version        uint64    `cbor:"10,keyasint,omitempty"` // configuration in force at the destination
+	Failing        float64   `cbor:"9,keyasint,omitempty"`  // part of such requests that is refused, or fails for refusals further down
 }
 
 // EncodeHeader returns v as a header value: CBOR in unpadded base64.
