--- a/node/call.go
+++ b/node/call.go
@@ -198,7 +198,9 @@
 		return
 	}
 	c.node.onward.told(c.in.target.service, r.Failing, now)
-	if r.Overloaded || failed != nil && (failed.Reason == refusal.Overload || failed.Reason == refusal.Deadline) {
+	// A request that was sent and not answered in time tells nothing of overload.
+	refused := failed != nil && failed.Ran == refusal.RanNo && (failed.Reason == refusal.Overload || failed.Reason == refusal.Deadline)
+	if r.Overloaded || refused {
 		c.node.onward.note(now)
 	}
 }
