--- a/admission/controller.go
+++ b/admission/controller.go
@@ -39,7 +39,7 @@
 	Connections int           // connections that the backend server accepts; 0 means no bound
 	QueueLength int           // requests that may wait; 0 means queuePerSlot for each slot
 	QueueTime   time.Duration // longest wait while latency is short; 0 means DefaultQueueTime
-	FixedLimit  bool          // keep the limit at min(Slots, Connections); for comparisons
+	FixedLimit  bool          // keep the limit at min(Slots, Connections): the backend server states them exactly
 	Clock       func() time.Time
 }
 
@@ -133,8 +133,12 @@
 	c.dispatch(now)
 }
 
-// SetColdStart starts a ramp of the limit that reaches the full limit after d.
+// SetColdStart starts a ramp of the limit that reaches the full limit after d. A
+// fixed limit has none.
 func (c *Controller) SetColdStart(d time.Duration) {
+	if c.limiter.fixed {
+		return
+	}
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -255,3 +255,16 @@
 		assert.Equal(t, lowest(), config.Low)
 	})
 }
+
+// Guards against a backend server that states its slots exactly and stands idle
+// after its start while requests are refused.
+func TestFixedLimitHasNoRamp(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := New(Config{Slots: 4, FixedLimit: true, Clock: func() time.Time { return now }})
+	c.SetColdStart(time.Minute)
+	for range 4 {
+		_, err := c.Acquire(context.Background(), Request{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, c.Threshold().InFlight, 4)
+}
