--- a/config/hosted.go
+++ b/config/hosted.go
@@ -44,7 +44,6 @@
 // BackendLimits are the properties that all backend servers of a service share.
 type BackendLimits struct {
 	Connections int // that one backend server accepts
-	HealthPath  string
 }
 
 // CallerLimits bound what callers may send. Zero means no bound.
--- a/node/node.go
+++ b/node/node.go
@@ -237,9 +237,10 @@
 }
 
 // probeHealth asks the backend server for its state, at most once at a time.
-// Only a report of draining counts: health endpoints may lag or mislead.
+// Only a report of draining counts: health endpoints may lag or mislead. The path
+// is that of the project's own protocol.
 func (n *Node) probeHealth(b *backendServer) {
-	if !n.backend.probing.CompareAndSwap(false, true) {
+	if !n.cfg.Edge.Contextual() || !n.backend.probing.CompareAndSwap(false, true) {
 		return
 	}
 	n.background(func() {
