Close the listeners of a sidecar that cannot bind all of them

TestConfigurationFromOtherNodes failed once because another process had taken the port that the test had found free; the test now binds again, and a failed start leaves no listener open.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// close closes the listeners that are open.
+func (l *listeners) close() {
+	for _, open := range []net.Listener{l.callers, l.peers, l.announcements, l.ready, l.operators} {
+		if open != nil {
+			_ = open.Close()
+		}
+	}
+}
+
 func (d *Sidecar) listen() error {
 	a := d.settings.Addresses
 	l := &d.listeners
@@ -146,6 +155,7 @@
 	} {
 		listener, err := net.Listen("tcp", b.address)
 		if err != nil {
+			l.close()
 			return Error.New("listener %s: %v", b.name, err)
 		}
 		*b.target = listener
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -115,13 +115,18 @@
 	f.t.Helper()
 	h := &host{server: newServer(f.t, name), fleet: f, service: service}
 	var err error
-	h.sidecar, err = New(&settings.Sidecar{
-		Name: name, DataCentre: "dudley", Region: "midlands", Service: service, Platform: f.url,
-		Addresses: settings.SidecarAddresses{
-			Callers: freeAddress(f.t), Peers: freeAddress(f.t), Announcements: freeAddress(f.t), Ready: freeAddress(f.t), Operators: freeAddress(f.t),
-		},
-		AnnouncementInterval: time.Hour, Memory: 1 << 30, StopLimit: waitLimit,
-	}, logr.Discard())
+	for range 20 { // a free port may be taken before it is bound
+		h.sidecar, err = New(&settings.Sidecar{
+			Name: name, DataCentre: "dudley", Region: "midlands", Service: service, Platform: f.url,
+			Addresses: settings.SidecarAddresses{
+				Callers: freeAddress(f.t), Peers: freeAddress(f.t), Announcements: freeAddress(f.t), Ready: freeAddress(f.t), Operators: freeAddress(f.t),
+			},
+			AnnouncementInterval: time.Hour, Memory: 1 << 30, StopLimit: waitLimit,
+		}, logr.Discard())
+		if err == nil || !strings.Contains(err.Error(), "address already in use") {
+			break
+		}
+	}
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
