Avoid endpoints whose backend server refuses calls

Cause: a refusal by the backend server itself did not count against its endpoint, so half of the calls went to a server that refuses all of them, until the retry budget was used up. TestRetriesElsewhere failed once in four runs for it (503 for 20 s); eight runs pass now.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,7 +110,7 @@
 	// Unreachable tells that no connection was made, or that the address belongs to
 	// another node.
 	Unreachable bool
-	Failing     bool // the answer was complete, and a failure of the backend server
+	Failing     bool // the backend server itself failed or refused the call
 }
 
 // Pick chooses an endpoint. The error is a *refusal.Refusal, not run:
--- a/node/call.go
+++ b/node/call.go
@@ -223,7 +223,7 @@
 
 // settleFailure reports a failed try to the balancer and takes unused attempts back.
 func (c *call) settleFailure(pick balancer.Pick, f *failure, latency time.Duration) {
-	result := balancer.Result{Latency: latency, Kind: f.kind, Unreachable: f.unreachable, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
+	result := balancer.Result{Latency: latency, Kind: f.kind, Unreachable: f.unreachable, Failing: f.result.Shed, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
 	if f.heard {
 		result.Threshold = known(&f.result.Threshold)
 	}
