--- a/node/backend.go
+++ b/node/backend.go
@@ -108,7 +108,7 @@
 	if same && old.Connections == b.Connections {
 		b.conns = old.conns
 	} else {
-		b.conns = newConnPool(nil, backendIdleTimeout, b.Connections, b.Connections)
+		b.conns = newConnPool(nil, backendDialTimeout, backendIdleTimeout, b.Connections, b.Connections)
 	}
 	if same {
 		b.admission = old.admission
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -16,7 +16,10 @@
 
 // Limits of exchanges with other nodes and with the backend server.
 const (
-	dialTimeout = 300 * time.Millisecond
+	// A host that does not answer is left for another one; the backend server on the
+	// own host has no alternative.
+	hopDialTimeout     = 300 * time.Millisecond
+	backendDialTimeout = 500 * time.Millisecond
 	// Connections that have gone silent without a reset end after the probes.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
--- a/node/node.go
+++ b/node/node.go
@@ -63,7 +63,7 @@
 	}
 	n := &Node{
 		cfg: cfg, log: newEventLog(cfg.Log, cfg.Clock), metrics: newNodeMetrics(cfg.Metrics), burn: newBurnTable(cfg.Clock),
-		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopIdleTimeout, maxIdleHopConns, 0),
+		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopDialTimeout, hopIdleTimeout, maxIdleHopConns, 0),
 		stopped: make(chan struct{}),
 	}
 	n.throttle = admission.NewThrottle(cfg.Clock)
--- a/node/pool.go
+++ b/node/pool.go
@@ -25,10 +25,10 @@
 }
 
 // newConnPool returns a pool whose connections start from source; nil leaves
-// the choice to the kernel.
-func newConnPool(source net.IP, timeout time.Duration, maxIdle, maxConns int) *connPool {
+// the choice to the kernel. dial bounds the time to open one, timeout its idle time.
+func newConnPool(source net.IP, dial, timeout time.Duration, maxIdle, maxConns int) *connPool {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
-	p := &connPool{dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
+	p := &connPool{dialer: net.Dialer{Timeout: dial, KeepAliveConfig: keepAlive}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
 	if source != nil {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
--- a/node/pool_test.go
+++ b/node/pool_test.go
@@ -75,7 +75,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var requests atomic.Int64
 			address := scripted(t, &requests, tc.script...)
-			p := newConnPool(nil, time.Minute, 4, 4)
+			p := newConnPool(nil, hopDialTimeout, time.Minute, 4, 4)
 			defer p.close()
 			for _, want := range tc.bodies {
 				body, err := exchangeOnce(p, address)
