Serve requests on open connections while a node stops

The listener now refuses new clients only, and streams of open connections still reach the server until it shuts down. Test: TestRefuseKeepsOpenConnections.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 	done  chan struct{}
 	mu    sync.Mutex
 	err   error // of the other listener
+
+	refusing atomic.Bool // no new connections of clients
 }
 
 // NewListener starts accepting from l.
@@ -55,7 +58,9 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
-			l.end(err)
+			if !l.refusing.Load() {
+				l.end(err)
+			}
 			return
 		}
 		c := &client{real: conn, listener: l}
@@ -84,11 +89,20 @@
 	}
 }
 
+// Refuse ends the accepting of new clients. Requests on connections that are open
+// still reach the server.
+func (l *Listener) Refuse() error {
+	l.refusing.Store(true)
+	return l.Listener.Close()
+}
+
 // Close implements net.Listener. Connections that are open stay open.
 func (l *Listener) Close() error {
-	err := l.Listener.Close()
 	l.end(net.ErrClosed)
-	return err
+	if l.refusing.Load() {
+		return nil // it is closed already
+	}
+	return l.Listener.Close()
 }
 
 // State tells the listener what the server does with a connection of it. It is to
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -158,3 +158,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
 }
+
+// Guards against requests on open connections that are lost while a server that is
+// about to stop takes no new clients.
+func TestRefuseKeepsOpenConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := NewListener(l)
+	release := make(chan struct{})
+	srv := &http.Server{ConnState: State, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	go func() { _ = srv.Serve(p) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	conn, r := dial(t, l.Addr().String())
+	_, err = io.WriteString(conn, get("/0"))
+	assert.NilError(t, err)
+	assert.NilError(t, p.Refuse())
+	_, err = io.WriteString(conn, get("/1"))
+	assert.NilError(t, err)
+	close(release)
+	assert.Equal(t, answer(t, r), "/0")
+	assert.Equal(t, answer(t, r), "/1")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	backend backendSlot
 
 	destinations destinations
+	callers      *pipeline.Listener // cfg.Callers
 	throttle     *admission.Throttle
 	versions     VersionListener // nil if the configuration does not listen
 	onward       onwardOverload
@@ -70,7 +71,8 @@
 	n.versions, _ = cfg.Configuration.(VersionListener)
 	n.backend.lifetime = cfg.AnnouncementLifetime
 	cfg.Directory.Watch(n.updateDestination)
-	n.cfg.Callers = pipeline.NewListener(n.cfg.Callers)
+	n.callers = pipeline.NewListener(cfg.Callers)
+	n.cfg.Callers = n.callers
 	n.servers = []*http.Server{
 		n.server(n.serveCallers, cfg.IdleTimeout),
 		n.server(n.serveLocal, peersIdleTimeout),
@@ -173,7 +175,7 @@
 	// http.Server.Shutdown drops, without an answer, a request that it reads
 	// after the call. So the listener closes first, and connections that were
 	// accepted before still get a refusal, which also closes them.
-	_ = n.cfg.Callers.Close()
+	_ = n.callers.Refuse()
 	pause.For(ctx, n.cfg.LeaveTime)
 	idle = n.waitIdle(ctx) && idle
 	defer close(n.stopped)
