--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/directory"
 	"github.com/dotterelseam/dotterelseam/distribution"
+	"github.com/dotterelseam/dotterelseam/internal/keepalive"
 	"github.com/dotterelseam/dotterelseam/node"
 	"github.com/dotterelseam/dotterelseam/partition"
 	"github.com/dotterelseam/dotterelseam/platform"
@@ -41,6 +42,8 @@
 	// further up repeat the calls below them too.
 	retryPart  = 0.75
 	retryBurst = 3
+	// retryMinimum repeats a second are allowed even with few calls.
+	retryMinimum = 0.1
 	// memoryPart of the memory is the soft limit of the Go runtime.
 	memoryPart = 0.7
 	// peerDialLimit bounds the time to connect to another node.
@@ -112,9 +115,7 @@
 
 // peerClient returns the client for control calls to other nodes.
 func peerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialLimit, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}}
+	dialer := &net.Dialer{Timeout: peerDialLimit, KeepAliveConfig: keepalive.Config()}
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}}
 }
 
@@ -125,7 +126,7 @@
 		PeerAddress: s.Addresses.Peers, Service: s.Service, Edge: platform.Edge{},
 		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
 		Configuration: d.config, Quota: node.FromPartition(d.quota), Directory: d.directory,
-		Retry: retry.Config{Ratio: retryPart * bounds.RetryRatio, Burst: retryBurst, Minimum: 0.1},
+		Retry: retry.Config{Ratio: retryPart * bounds.RetryRatio, Burst: retryBurst, Minimum: retryMinimum},
 		// The backend server says how many requests it runs at the same time.
 		Admission: admission.Config{FixedLimit: true},
 		Metrics:   d.metrics, Log: d.log, Control: d.peers(),
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -20,9 +20,6 @@
 	// own host has no alternative.
 	hopDialTimeout     = 300 * time.Millisecond
 	backendDialTimeout = 500 * time.Millisecond
-	// Connections that have gone silent without a reset end after the probes.
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
 	// hopIdleTimeout is below peersIdleTimeout, so that the side that sends
 	// requests closes idle connections first and no request meets a closing one.
 	hopIdleTimeout   = 60 * time.Second
--- a/node/pool.go
+++ b/node/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/dotterelseam/dotterelseam/internal/keepalive"
 )
 
 const connBufferBytes = 4 << 10
@@ -27,8 +29,7 @@
 // newConnPool returns a pool whose connections start from source; nil leaves
 // the choice to the kernel. dial bounds the time to open one, timeout its idle time.
 func newConnPool(source net.IP, dial, timeout time.Duration, maxIdle, maxConns int) *connPool {
-	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}
-	p := &connPool{dialer: net.Dialer{Timeout: dial, KeepAliveConfig: keepAlive}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
+	p := &connPool{dialer: net.Dialer{Timeout: dial, KeepAliveConfig: keepalive.Config()}, timeout: timeout, maxIdle: maxIdle, idle: map[string][]*pooledConn{}}
 	if source != nil {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
