--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,11 +1,13 @@
 // Package directory knows the endpoints of all nodes through rows of the store:
 // each node writes its own row when its backend server changes, and follows the
-// changes of the others. While the store is away, the last known rows hold.
+// changes of the others. While the store is away, the last known rows hold, and
+// nodes learn rows from each other.
 package directory
 
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/interrupt"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/store"
 )
@@ -36,11 +39,12 @@
 	writeLimit = 2 * time.Second
 )
 
-// Config describes a Directory. All fields are required.
+// Config describes a Directory. All fields but Client are required.
 type Config struct {
-	Node  string
-	Table store.Table
-	Log   logr.Logger
+	Node   string
+	Table  store.Table
+	Log    logr.Logger
+	Client *http.Client // for calls to other nodes; nil: rows come from the store only
 }
 
 // Directory implements node.Directory. It is safe for concurrent use.
@@ -57,6 +61,11 @@
 	changed    chan struct{}      // has a value when own differs from the row
 	version    uint64             // changes with every change of the rows
 	watching   bool               // the store answered the latest call
+	known      bool               // all rows were read once, from the store or another node
+	heardFrom  string             // peers address of another node; used until known
+
+	waiting interrupt.Waiter
+	wanted  chan struct{} // has a value when rows of another node are needed
 }
 
 type entry struct {
@@ -68,7 +77,7 @@
 func New(cfg Config) *Directory {
 	return &Directory{
 		cfg: cfg, rows: map[string]entry{}, byService: map[string][]balancer.Endpoint{},
-		changed: make(chan struct{}, 1), watching: true,
+		changed: make(chan struct{}, 1), watching: true, wanted: make(chan struct{}, 1),
 	}
 }
 
@@ -88,13 +97,21 @@
 
 // Members returns the endpoints of all nodes that have a row and still their
 // address, also of those without a backend server that serves, and a number that
-// changes with them. The result must not be changed.
+// changes with them. There are none before the rows were read once: a node that
+// knows only itself must not take itself for the whole fleet. The result must not
+// be changed.
 func (d *Directory) Members() (version uint64, nodes []balancer.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.known {
+		return d.version, nil
+	}
 	return d.version, d.members
 }
 
+// Resync reads all rows again, on another connection to the store.
+func (d *Directory) Resync() { d.waiting.Interrupt() }
+
 // Announce implements node.Directory. Without a backend server the row stays
 // and names none that serves.
 func (d *Directory) Announce(e *balancer.Endpoint) {
@@ -126,6 +143,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { d.write(ctx) })
 	parts.Go(func() { d.follow(ctx) })
+	parts.Go(func() { d.learn(ctx) })
 	parts.Wait()
 }
 
@@ -206,19 +224,14 @@
 	var revision uint64
 	synced := false
 	for ctx.Err() == nil {
-		var changes store.Changes
-		var err error
-		if synced {
-			changes, err = d.cfg.Table.Watch(ctx, revision, watchWait)
-		} else {
-			changes, err = d.cfg.Table.Snapshot(ctx, RowPrefix)
-		}
+		changes, err := d.next(ctx, revision, synced)
 		switch {
 		case store.ErrCompacted.Has(err):
 			synced = false
 			continue
 		case err != nil:
 			d.reachable(false, err)
+			d.wantRows()
 			synced = false // changes in between may be lost to compaction
 			pause.For(ctx, retryTime/2+rand.N(retryTime/2))
 			continue
@@ -226,6 +239,9 @@
 		d.reachable(true, nil)
 		if !synced {
 			changes.Rows = append(changes.Rows, d.missing(changes)...)
+			d.mu.Lock()
+			d.known = true
+			d.mu.Unlock()
 		}
 		revision, synced = changes.Revision, true
 		d.apply(changes.Rows, nil)
@@ -235,6 +251,16 @@
 	}
 }
 
+// next waits for changes, or reads all rows.
+func (d *Directory) next(ctx context.Context, revision uint64, synced bool) (store.Changes, error) {
+	ctx, done := d.waiting.Context(ctx)
+	defer done()
+	if synced {
+		return d.cfg.Table.Watch(ctx, revision, watchWait)
+	}
+	return d.cfg.Table.Snapshot(ctx, RowPrefix)
+}
+
 // settle returns the pause after a change.
 func (d *Directory) settle() time.Duration {
 	_, nodes := d.Members()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,7 +40,7 @@
 // start runs the directory of a node until the end of the test.
 func (f *fleet) start(node string) *directory.Directory {
 	f.t.Helper()
-	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard()})
+	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard(), Client: http.DefaultClient})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Run(ctx) }()
@@ -144,3 +146,35 @@
 	_, members := a.Members()
 	assert.Equal(t, len(members), 1)
 }
+
+// Guards against a node that starts while the store turns it away: it has to learn
+// the rows from a node that it hears of, and must not take itself for the whole
+// fleet before.
+func TestLearnsFromOtherNodes(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	a.Announce(endpoint("a", balancer.Serving))
+	b.Announce(endpoint("b", balancer.Serving))
+	both := map[string]balancer.State{"a": balancer.Serving, "b": balancer.Serving}
+	await(t, a, both)
+	peers := httptest.NewServer(a.Handler())
+	t.Cleanup(peers.Close)
+
+	away := newFleet(t)
+	away.stand.SetFaults(standin.PlatformFaults{Down: true})
+	c := away.start("c")
+	c.Announce(endpoint("c", balancer.Serving))
+	_, members := c.Members()
+	assert.Equal(t, len(members), 0)
+	unread := httptest.NewServer(c.Handler())
+	t.Cleanup(unread.Close)
+	resp, err := http.Get(unread.URL)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+
+	c.Heard(strings.TrimPrefix(peers.URL, "http://"))
+	await(t, c, map[string]balancer.State{"a": balancer.Serving, "b": balancer.Serving, "c": balancer.Serving})
+	_, members = c.Members()
+	assert.Equal(t, len(members), 3)
+}
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,6 +12,8 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/internal/interrupt"
+	"github.com/dotterelseam/dotterelseam/internal/nodecall"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 )
 
@@ -31,6 +32,9 @@
 const (
 	fetchLimit = 2 * time.Second
 	maxFetched = 16 << 20 // bytes
+	// behindTime is how long a version that another node knows may be missing here
+	// while the source seems to answer. It is above the usual delay of a change.
+	behindTime = time.Second
 )
 
 // ErrFetch is the class of configurations that could not be read from another node.
@@ -63,6 +67,8 @@
 	up       atomic.Bool
 	fetch    func(ctx context.Context, address string) ([]byte, error) // nil: other nodes are not asked
 	asking   atomic.Bool
+	waiting  interrupt.Waiter
+	silence  []func()
 }
 
 // followed is a configuration with the form in which it is passed on.
@@ -106,10 +112,16 @@
 	f.fetch = fetch
 }
 
-// Heard tells that the node at address has a version in force. While the source
-// does not answer, a newer one is taken over from there. It does not block.
+// OnSilence calls f when another node has known a newer version for some time
+// although the source seems to answer: the connection to it may be silent. It must
+// be called before Run.
+func (f *Follower) OnSilence(w func()) { f.silence = append(f.silence, w) }
+
+// Heard tells that the node at address has a version in force. A newer one is taken
+// over from there if the source does not answer, or does not bring it soon. It does
+// not block.
 func (f *Follower) Heard(version uint64, address string) {
-	if s := f.Current(); f.up.Load() && s != nil || s != nil && version <= s.Version || f.fetch == nil {
+	if s := f.Current(); s != nil && version <= s.Version || f.fetch == nil {
 		return
 	}
 	if !f.asking.CompareAndSwap(false, true) {
@@ -117,8 +129,15 @@
 	}
 	go func() {
 		defer f.asking.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), behindTime+fetchLimit)
 		defer cancel()
+		if s := f.Current(); s != nil && f.up.Load() {
+			pause.For(ctx, behindTime)
+			if f.Current().Version >= version {
+				return
+			}
+			f.interrupt(version)
+		}
 		raw, err := f.fetch(ctx, address)
 		if err != nil {
 			f.log.Info("configuration_not_fetched", "from", address, "version", version, "error", err.Error())
@@ -128,6 +147,16 @@
 	}()
 }
 
+// interrupt ends calls that wait for the source, which are then made again on
+// another connection.
+func (f *Follower) interrupt(version uint64) {
+	f.log.Info("store_silent", "what", "configuration", "version", f.Current().Version, "heard", version)
+	f.waiting.Interrupt()
+	for _, w := range f.silence {
+		w()
+	}
+}
+
 // Handler serves the configuration in force, encoded, to other nodes.
 func (f *Follower) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -143,19 +172,7 @@
 // ReadFrom reads the configuration that Handler serves at a peers address.
 func ReadFrom(client *http.Client) func(ctx context.Context, address string) ([]byte, error) {
 	return func(ctx context.Context, address string) ([]byte, error) {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ConfigurationPath, nil)
-		if err != nil {
-			return nil, ErrFetch.Wrap(err)
-		}
-		resp, err := client.Do(req)
-		if err != nil {
-			return nil, ErrFetch.Wrap(err)
-		}
-		defer resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			return nil, ErrFetch.New("%s answered with status %d", address, resp.StatusCode)
-		}
-		raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFetched))
+		raw, err := nodecall.Do(ctx, client, http.MethodGet, address, ConfigurationPath, maxFetched)
 		return raw, ErrFetch.Wrap(err)
 	}
 }
@@ -172,6 +189,7 @@
 			continue
 		case err != nil:
 			f.reachable(false, err)
+			synced = false // a read tells at once whether the source is back
 			pause.For(ctx, followBackoff/2+rand.N(followBackoff/2))
 			continue
 		}
@@ -185,6 +203,8 @@
 }
 
 func (f *Follower) next(ctx context.Context, revision uint64, synced bool) ([]byte, uint64, error) {
+	ctx, done := f.waiting.Context(ctx)
+	defer done()
 	if !synced {
 		return f.source.Read(ctx)
 	}
--- a/distribution/follower_test.go
+++ b/distribution/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,3 +85,39 @@
 		assert.Equal(t, f.Current().Version, tc.want)
 	}
 }
+
+// silentSource answers reads, and is silent in calls that wait, as a connection is
+// that a middle box has forgotten.
+type silentSource struct {
+	platform.Configuration
+	version atomic.Int64
+}
+
+func (s *silentSource) Read(context.Context) ([]byte, uint64, error) {
+	return operatorConfig(int(s.version.Load())), 1, nil
+}
+
+func (s *silentSource) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]byte, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a node that stays at an old version for as long as a call to the
+// store waits on a silent connection, although other nodes know a newer one.
+func TestFollowerOfSilentSource(t *testing.T) {
+	source := &silentSource{}
+	source.version.Store(4)
+	f := distribution.NewFollower(source, logr.Discard())
+	silent := make(chan struct{}, 1)
+	f.OnSilence(func() { silent <- struct{}{} })
+	f.FetchFrom(func(context.Context, string) ([]byte, error) { return operatorConfig(7), nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	awaitVersion(t, f, 4)
+	source.version.Store(9)
+	f.Heard(7, "other:1")
+	<-silent
+	awaitVersion(t, f, 9) // the interrupted call was made again
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -137,7 +136,7 @@
 	operators.Handle("POST "+keys.WithdrawPath, d.keys.WithdrawHandler())
 	return node.Config{
 		ID: s.Name, Incarnation: incarnation, DataCentre: s.DataCentre, Region: s.Region,
-		PeerAddress: s.Addresses.PeersAdvertised, SourceIP: sourceIP(s.Addresses.Peers),
+		PeerAddress: s.Addresses.PeersAdvertised, SourceIP: settings.HostIP(s.Addresses.Peers),
 		ClusterSecret: string(s.ClusterSecret),
 		Callers:       l.callers, Local: l.local, Peers: l.peers, Operators: l.operators,
 		Configuration: d.config, Keys: d.keys, Quota: node.FromBucket(d.quota.Bucket), Ledger: d.ledger, Directory: d.members,
@@ -191,19 +190,10 @@
 // sourceDialer connects from the IP address of the peers listener, so that
 // others can tell by address which host a connection comes from.
 func sourceDialer(peers string) dialFunc {
-	d := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: sourceIP(peers)}}
+	d := &net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: settings.HostIP(peers)}}
 	return d.DialContext
 }
 
-// sourceIP returns the IP address of an ip:port that settings has checked.
-func sourceIP(address string) net.IP {
-	a, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil
-	}
-	return a.Addr().AsSlice()
-}
-
 type listeners struct{ callers, local, peers, operators net.Listener }
 
 // close closes the listeners that are open.
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -126,19 +126,24 @@
 
 var nextNet atomic.Uint32
 
-// claimNet takes a part of the loopback range that no other cluster on this
-// machine uses, by holding a listener on it.
-func (c *Cluster) claimNet() error {
+// claimNet takes a part of the loopback range for the cluster.
+func (c *Cluster) claimNet() (err error) {
+	c.prefix, c.lock, err = ClaimNet()
+	return err
+}
+
+// ClaimNet takes a part of the loopback range that no other cluster on this
+// machine uses, until the listener is closed. It returns the first two octets.
+func ClaimNet() (prefix string, lock net.Listener, err error) {
 	for range clusterNets {
 		octet := firstClusterNet + (uint32(os.Getpid())+nextNet.Add(1))%clusterNets
 		prefix := fmt.Sprintf("127.%d", octet)
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d.1:%d", prefix, platformOctet, platformPort+1))
 		if err == nil {
-			c.lock, c.prefix = l, prefix
-			return nil
+			return prefix, l, nil
 		}
 	}
-	return Error.New("no free part of the loopback range")
+	return "", nil, Error.New("no free part of the loopback range")
 }
 
 func (c *Cluster) startPlatform() error {
--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -19,7 +19,8 @@
 	Delay time.Duration // one-way latency
 }
 
-// Network is a set of TCP proxies whose links can be cut and delayed by zone. A
+// Network is a set of TCP proxies whose links can be cut and delayed by zone, and
+// whose open connections can be reset or silenced. A
 // zone is a data centre, or any other name for a set of IP addresses. The zone
 // of a connection's origin is found by its source address, so each process has
 // to dial from its own address.
@@ -28,14 +29,20 @@
 	changed *sync.Cond
 	zones   map[netip.Addr]string
 	rules   map[[2]string]Rule
-	open    map[net.Conn]struct{}
+	open    map[net.Conn]*link
 	servers []net.Listener
 	closed  bool
 }
 
+// link is a connection through a proxy.
+type link struct {
+	from, to string // zones
+	silent   bool   // delivers nothing any more; guarded by Network.mu
+}
+
 // NewNetwork returns a network without proxies, in which every link works.
 func NewNetwork() *Network {
-	n := &Network{zones: map[netip.Addr]string{}, rules: map[[2]string]Rule{}, open: map[net.Conn]struct{}{}}
+	n := &Network{zones: map[netip.Addr]string{}, rules: map[[2]string]Rule{}, open: map[net.Conn]*link{}}
 	n.changed = sync.NewCond(&n.mu)
 	return n
 }
@@ -68,6 +75,33 @@
 	n.SetRule(b, a, Rule{})
 }
 
+// Reset resets the open connections of a zone, in either direction.
+func (n *Network) Reset(zone string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c, l := range n.open {
+		if l.from != zone && l.to != zone {
+			continue
+		}
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // fails on a closed connection only
+		}
+		_ = c.Close()
+	}
+}
+
+// Silence makes the open connections of a zone deliver nothing any more, without
+// closing them. New connections work.
+func (n *Network) Silence(zone string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.open {
+		if l.from == zone || l.to == zone {
+			l.silent = true
+		}
+	}
+}
+
 // Proxy listens on address and forwards connections to target, which is in the
 // given zone. It returns the address in use.
 func (n *Network) Proxy(address, target, zone string) (string, error) {
@@ -108,8 +142,8 @@
 
 func (n *Network) serve(client net.Conn, target, zone string) {
 	defer n.forget(client)
-	source := n.zoneOf(client.RemoteAddr())
-	if !n.remember(client) || !n.wait(source, zone) {
+	l := &link{from: n.zoneOf(client.RemoteAddr()), to: zone}
+	if !n.remember(client, l) || !n.wait(l, l.from, l.to) {
 		return
 	}
 	server, err := net.Dial("tcp", target)
@@ -117,12 +151,12 @@
 		return
 	}
 	defer n.forget(server)
-	if !n.remember(server) {
+	if !n.remember(server, l) {
 		return
 	}
 	done := make(chan struct{}, 2)
-	go n.copy(server, client, source, zone, done)
-	go n.copy(client, server, zone, source, done)
+	go n.copy(server, client, l, l.from, l.to, done)
+	go n.copy(client, server, l, l.to, l.from, done)
 	<-done
 	<-done
 }
@@ -138,18 +172,18 @@
 }
 
 // copy forwards bytes in one direction and passes on the end of the stream.
-func (n *Network) copy(dst, src net.Conn, from, to string, done chan<- struct{}) {
+func (n *Network) copy(dst, src net.Conn, l *link, from, to string, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, copyBufferBytes)
 	for {
 		count, err := src.Read(buf)
-		if count > 0 && (!n.wait(from, to) || !writeAll(dst, buf[:count])) {
+		if count > 0 && (!n.wait(l, from, to) || !writeAll(dst, buf[:count])) {
 			_ = src.Close()
 			_ = dst.Close()
 			return
 		}
 		if err != nil {
-			if n.wait(from, to) {
+			if n.wait(l, from, to) {
 				closeWrite(dst, err)
 			}
 			return
@@ -172,11 +206,11 @@
 	_ = c.Close()
 }
 
-// wait blocks while the link is cut and then for its delay. It returns false
-// when the network is closed.
-func (n *Network) wait(from, to string) bool {
+// wait blocks while the link is cut or silent and then for its delay. It returns
+// false when the network is closed.
+func (n *Network) wait(l *link, from, to string) bool {
 	n.mu.Lock()
-	for n.rules[[2]string{from, to}].Cut && !n.closed {
+	for (n.rules[[2]string{from, to}].Cut || l.silent) && !n.closed {
 		n.changed.Wait()
 	}
 	delay, closed := n.rules[[2]string{from, to}].Delay, n.closed
@@ -187,14 +221,14 @@
 	return !closed
 }
 
-func (n *Network) remember(c net.Conn) bool {
+func (n *Network) remember(c net.Conn, l *link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
 		_ = c.Close()
 		return false
 	}
-	n.open[c] = struct{}{}
+	n.open[c] = l
 	return true
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -77,14 +77,15 @@
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Memory)))
 	d := &Sidecar{settings: *s, log: log, metrics: metrics.NewRegistry(), left: make(chan struct{})}
-	client, peers := platform.New(platform.Config{URL: s.Platform}), peerClient()
-	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log})
+	client, peers := platform.New(platform.Config{URL: s.Platform}), peerClient(s.Addresses.Source())
+	d.directory = directory.New(directory.Config{Node: s.Name, Table: client, Log: log, Client: peers})
 	d.config = distribution.NewFollower(platform.Configuration{Client: client}, log)
 	d.quota = partition.New(partition.Config{
 		Members: d.members, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
 		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Client: peers}).Borrow,
 	})
 	d.config.FetchFrom(distribution.ReadFrom(peers))
+	d.config.OnSilence(d.directory.Resync)
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -110,12 +111,17 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+partition.LendPath, d.quota.Handler())
 	mux.Handle("GET "+distribution.ConfigurationPath, d.config.Handler())
+	mux.Handle("GET "+directory.RowsPath, d.directory.Handler())
 	return mux
 }
 
-// peerClient returns the client for control calls to other nodes.
-func peerClient() *http.Client {
+// peerClient returns the client for control calls to other nodes, which connects
+// from source unless it is nil.
+func peerClient(source net.IP) *http.Client {
 	dialer := &net.Dialer{Timeout: peerDialLimit, KeepAliveConfig: keepalive.Config()}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}}
 }
 
@@ -123,7 +129,7 @@
 	s := &d.settings
 	return node.Config{
 		ID: s.Name, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Region: s.Region,
-		PeerAddress: s.Addresses.Peers, Service: s.Service, Edge: platform.Edge{},
+		PeerAddress: s.Addresses.Advertised(), SourceIP: s.Addresses.Source(), Service: s.Service, Edge: platform.Edge{},
 		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
 		Configuration: d.config, Quota: node.FromPartition(d.quota), Directory: d.directory,
 		Retry: retry.Config{Ratio: retryPart * bounds.RetryRatio, Burst: retryBurst, Minimum: retryMinimum},
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -34,7 +34,7 @@
 	seen []http.Header // of requests that reached it
 }
 
-func newServer(t *testing.T, id string) *server {
+func newServer(t testing.TB, id string) *server {
 	s := &server{id: id}
 	s.Server = httptest.NewServer(s)
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
@@ -65,7 +65,7 @@
 
 // fleet is a store and hosts with a node and a backend server each.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	stand *standin.Platform
 	url   string
 }
@@ -78,7 +78,7 @@
 	beats   atomic.Int64
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	f := &fleet{t: t, stand: standin.NewPlatform()}
 	srv := httptest.NewServer(f.stand.Handler())
 	t.Cleanup(srv.CloseClientConnections)
@@ -103,7 +103,7 @@
 // of a bound, so that the second request within a millisecond would be refused.
 const farm = `"farm":{"apiKeys":["k1"],"priority":1}`
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
@@ -182,7 +182,7 @@
 }
 
 // until repeats a check until it returns "".
-func until(t *testing.T, check func() string) {
+func until(t testing.TB, check func() string) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if problem := check(); problem != "" {
--- a/node/deps.go
+++ b/node/deps.go
@@ -25,6 +25,12 @@
 	Heard(version uint64, address string)
 }
 
+// PeerListener is a Directory that wants to know which other nodes live.
+type PeerListener interface {
+	// Heard tells that the node at a peers address lives. It does not block.
+	Heard(address string)
+}
+
 // KeyLookup maps a caller's key to its workspace. The error is a *refusal.Refusal.
 type KeyLookup interface {
 	Lookup(key string) (workspace string, err error)
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	callers      *pipeline.Listener // cfg.Callers
 	throttle     *admission.Throttle
 	versions     VersionListener // nil if the configuration does not listen
+	peers        PeerListener    // nil if the directory does not listen
 	onward       onwardOverload
 
 	leaving      atomic.Bool // a stop was announced
@@ -69,6 +70,7 @@
 	}
 	n.throttle = admission.NewThrottle(cfg.Clock)
 	n.versions, _ = cfg.Configuration.(VersionListener)
+	n.peers, _ = cfg.Directory.(PeerListener)
 	n.backend.lifetime = cfg.AnnouncementLifetime
 	cfg.Directory.Watch(n.updateDestination)
 	n.callers = pipeline.NewListener(cfg.Callers)
@@ -217,8 +219,11 @@
 	return 0
 }
 
-// heard passes on which version another node has in force.
+// heard passes on that another node lives and which version it has in force.
 func (n *Node) heard(version uint64, address string) {
+	if n.peers != nil {
+		n.peers.Heard(address)
+	}
 	if n.versions != nil && version > n.version() && address != "" {
 		n.versions.Heard(version, address)
 	}
--- a/partition/lend.go
+++ b/partition/lend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/nodecall"
 )
 
 // LendPath is where nodes ask each other for tokens, on the peers listener.
@@ -168,20 +169,11 @@
 }
 
 func (b *Borrower) ask(ctx context.Context, address, workspace string, want float64) (float64, error) {
-	u := "http://" + address + LendPath + "?workspace=" + url.QueryEscape(workspace) + "&want=" + strconv.FormatFloat(want, 'f', 0, 64)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, nil)
+	path := LendPath + "?workspace=" + url.QueryEscape(workspace) + "&want=" + strconv.FormatFloat(want, 'f', 0, 64)
+	body, err := nodecall.Do(ctx, b.Client, http.MethodPost, address, path, maxLendAnswer)
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
-	resp, err := b.Client.Do(req)
-	if err != nil {
-		return 0, Error.Wrap(err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLendAnswer))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return 0, Error.New("%s answered with status %d: %v", address, resp.StatusCode, err)
-	}
 	got, err := strconv.ParseFloat(string(body), 64)
 	if err != nil || got < 0 {
 		return 0, Error.Wrap(fmt.Errorf("%s lent %q: %w", address, body, err))
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -20,7 +20,8 @@
 
 // Config describes a Quota.
 type Config struct {
-	// Members returns the present view of the fleet.
+	// Members returns the present view of the fleet. Without nodes this one has no
+	// part of any bound, but for the token of its start.
 	Members func() Members
 	// Tolerance is the part by which the sum of all nodes may exceed the bound.
 	Tolerance float64
@@ -154,6 +155,8 @@
 		b.borrowed--
 	case b.tokens >= 1:
 		b.tokens--
+	case b.holders.count == 0:
+		return nil, refusal.New(refusal.NoConfiguration, "the nodes that share the bound are not known yet").After(maxWait)
 	default:
 		wait := time.Duration(float64(b.holders.count) / b.bound.Rate * float64(time.Second))
 		return nil, refusal.New(refusal.OverRate, "the workspace is over its rate").After(min(max(wait, minWait), maxWait))
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -254,3 +254,38 @@
 	limit := (w.Rate*window.Seconds()+w.Burst)*(1+tolerance) + extra
 	assert.Assert(t, float64(admitted) <= limit, "admitted %d, limit %v", admitted, limit)
 }
+
+// Guards against a node that has restarted without the store and takes the whole
+// bound, because it knows no other node that has a part of it.
+func TestUnknownMembers(t *testing.T) {
+	now := time.Unix(0, 0)
+	known := false
+	p := partition.New(partition.Config{
+		Members: func() partition.Members {
+			if !known {
+				return partition.Members{Version: 1, Self: name(0)}
+			}
+			m := members(8, 0)()
+			m.Version = 2
+			return m
+		},
+		Tolerance: tolerance, Extra: extra, Clock: func() time.Time { return now },
+	})
+	w := config.Workspace{Name: "w", Rate: 80, Burst: 80}
+	p.Configure([]config.Workspace{w})
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		_, err := p.Charge(context.Background(), "w")
+		assert.Equal(t, refusal.From(err).Reason, refusal.NoConfiguration)
+		assert.Equal(t, refusal.From(err).Ran, refusal.RanNo)
+	}
+	known = true
+	admitted := 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if _, err := p.Charge(context.Background(), "w"); err == nil {
+			admitted++
+		}
+	}
+	assert.Assert(t, admitted >= 8 && admitted <= 15, "admitted %d in a second of a part of 10", admitted)
+}
--- a/settings/addresses.go
+++ b/settings/addresses.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -85,3 +86,13 @@
 	}
 	return strings.TrimRight(text, "/")
 }
+
+// HostIP returns the IP address of an ip:port that this package has checked, or
+// nil for anything else.
+func HostIP(address string) net.IP {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil
+	}
+	return a.Addr().AsSlice()
+}
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net"
 	"path/filepath"
 	"time"
 
@@ -26,11 +27,31 @@
 
 // SidecarAddresses are the listeners of a Sidecar, each as ip:port.
 type SidecarAddresses struct {
-	Callers       string // callers and the backend server on this host
-	Peers         string // other nodes
-	Announcements string // the backend server on this host announces itself here
-	Ready         string // asked for readiness
-	Operators     string // status and metrics
+	Callers string // callers and the backend server on this host
+	Peers   string // other nodes
+	// PeersAdvertised is where other nodes connect if a proxy stands before Peers.
+	PeersAdvertised string
+	Announcements   string // the backend server on this host announces itself here
+	Ready           string // asked for readiness
+	Operators       string // status and metrics
+}
+
+// Advertised returns where other nodes connect.
+func (a *SidecarAddresses) Advertised() string {
+	if a.PeersAdvertised != "" {
+		return a.PeersAdvertised
+	}
+	return a.Peers
+}
+
+// Source returns the IP address from which the node connects to others, or nil for
+// the kernel's choice. Behind a proxy it is that of Peers, so that the proxy can
+// tell hosts apart.
+func (a *SidecarAddresses) Source() net.IP {
+	if a.PeersAdvertised == "" {
+		return nil
+	}
+	return HostIP(a.Peers)
 }
 
 // LoadSidecar reads and checks the settings file at path. The error is of class
@@ -86,7 +107,7 @@
 }
 
 func readSidecarAddresses(v strictyaml.Value) SidecarAddresses {
-	m, ok := v.Mapping("callers", "peers", "announcements", "ready", "operators")
+	m, ok := v.Mapping("callers", "peers", "peers_advertised", "announcements", "ready", "operators")
 	if !ok {
 		return SidecarAddresses{}
 	}
@@ -104,8 +125,12 @@
 		seen[text] = name
 		return text
 	}
-	return SidecarAddresses{
+	a := SidecarAddresses{
 		Callers: read("callers"), Peers: read("peers"), Announcements: read("announcements"),
 		Ready: read("ready"), Operators: read("operators"),
 	}
+	if m.Get("peers_advertised").Exists() {
+		a.PeersAdvertised = read("peers_advertised")
+	}
+	return a
 }
