Read rows of hosts less often in large fleets

Change: the pause is 0.5 s for each 16 nodes, 2 s at most. Draining and lost hosts are found by the calls to them, so only new hosts are learned later.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,9 +30,9 @@
 	// settleTime is the pause after a change for each settleNodes nodes, up to
 	// maxSettleTime, so that several changes in a row cost one call and the store's
 	// reads do not grow with the square of the fleet.
-	settleTime    = 150 * time.Millisecond
+	settleTime    = 500 * time.Millisecond
 	settleNodes   = 16
-	maxSettleTime = time.Second
+	maxSettleTime = 2 * time.Second
 	// retryTime bounds the random pause after a failed call to the store.
 	retryTime = 600 * time.Millisecond
 	// writeLimit bounds one write of the node's own row.
