End connections to hosts that are cut off, and forget the idle ones with them

Each idle connection to a node behind the cut cost one request, because a broken one said nothing of the others, and bytes that nobody acknowledged were waited for until the route's timeout.

Ruled out: nodes that stop (none of the nodes tried was stopping), deadlines (99 of 180 had most of their time left).

Change: after a hop broke while its request was out, the idle connections to that node are closed, so that the next request finds by its refused connection that nobody is there, which is free to repeat. Connections to other nodes end when bytes stay unacknowledged for 500 ms.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -4,7 +4,10 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -16,3 +19,19 @@
 func Config() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: probes}
 }
+
+// Unacknowledged returns the Control of a net.Dialer that ends connections whose
+// bytes the other host has not acknowledged for limit. A host that is alive but
+// whose process does not read acknowledges them.
+func Unacknowledged(limit time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		controlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -18,7 +18,10 @@
 const (
 	// A host that does not answer is left for another one; the backend server on the
 	// own host has no alternative.
-	hopDialTimeout     = 300 * time.Millisecond
+	hopDialTimeout = 300 * time.Millisecond
+	// hopUnacknowledged ends a connection to a host that is cut off early enough for
+	// another try. It leaves time for two retransmissions of a lost packet.
+	hopUnacknowledged  = 500 * time.Millisecond
 	backendDialTimeout = 500 * time.Millisecond
 	// hopIdleTimeout is below peersIdleTimeout, so that the side that sends
 	// requests closes idle connections first and no request meets a closing one.
--- a/node/hop.go
+++ b/node/hop.go
@@ -44,6 +44,9 @@
 	})
 	x.sent = sent
 	if err != nil {
+		if sent && ctx.Err() == nil {
+			n.hops.forget(e.PeerAddress)
+		}
 		return nil, x.fail(x.broken(err), hop)
 	}
 	return x.answered(resp, hop)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelseam/dotterelseam/attempt"
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/internal/keepalive"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/internal/pipeline"
 )
@@ -68,6 +69,7 @@
 		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopDialTimeout, hopIdleTimeout, maxIdleHopConns, 0),
 		stopped: make(chan struct{}),
 	}
+	n.hops.dialer.Control = keepalive.Unacknowledged(hopUnacknowledged)
 	n.throttle = admission.NewThrottle(cfg.Clock)
 	n.versions, _ = cfg.Configuration.(VersionListener)
 	n.peers, _ = cfg.Directory.(PeerListener)
--- a/node/pool.go
+++ b/node/pool.go
@@ -117,6 +117,19 @@
 	c.pool.free()
 }
 
+// forget closes the idle connections to an address, after one has broken while its
+// request was out: the others are likely to lead nowhere too, which each would
+// tell only by the loss of one more request.
+func (p *connPool) forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Conn.Close()
+	}
+}
+
 // sweep closes connections that have been idle for too long.
 func (p *connPool) sweep() {
 	p.mu.Lock()
--- a/node/pool_test.go
+++ b/node/pool_test.go
@@ -12,7 +12,13 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/keepalive"
+	"github.com/dotterelseam/dotterelseam/peer"
+	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
 // scripted is a TCP server that reads a request and then runs the next step of
@@ -112,3 +118,69 @@
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+// Guards against a host that is cut off and costs one request for each idle
+// connection to it: after a connection broke, the next exchange opens a new one.
+func TestBrokenConnectionForgetsIdleOnes(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	var requests, connections atomic.Int64
+	l := listen(t)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			// The first three connections break at their second request.
+			script := []string{ok, ""}
+			if connections.Add(1) > 3 {
+				script = []string{ok, ok, ok}
+			}
+			go play(conn, &requests, script)
+		}
+	}()
+	p := newConnPool(nil, hopDialTimeout, time.Minute, 4, 0)
+	defer p.close()
+	n := &Node{hops: p}
+	send := func() *failure {
+		in := &incoming{method: "GET", host: "h", header: http.Header{}, body: &upload{whole: true}, deadline: time.Now().Add(time.Minute)}
+		n.cfg.Clock = time.Now
+		_, f := n.forward(context.Background(), balancer.Endpoint{PeerAddress: l.Addr().String()}, &peer.Hop{Attempts: 1}, in)
+		return f
+	}
+	conns := make([]*pooledConn, 3) // three idle connections that have answered once
+	for i := range conns {
+		c, err := p.get(context.Background(), l.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		_, err = io.ReadFull(c.Conn, make([]byte, len(ok)))
+		assert.NilError(t, err)
+		conns[i] = c
+	}
+	for _, c := range conns {
+		c.headLeft = noHeadLimit
+		c.release()
+	}
+	f := send()
+	assert.Assert(t, f != nil && f.refusal.Reason == refusal.BackendFailed && f.refusal.Ran == refusal.RanMaybe, "%+v", f)
+	send()
+	assert.Equal(t, connections.Load(), int64(4))
+}
+
+// Guards against connections to other hosts without the limit that shows a cut.
+func TestHopsLimitUnacknowledgedBytes(t *testing.T) {
+	var requests atomic.Int64
+	address := scripted(t, &requests, "")
+	p := newConnPool(nil, hopDialTimeout, time.Minute, 4, 0)
+	defer p.close()
+	p.dialer.Control = keepalive.Unacknowledged(hopUnacknowledged)
+	c, err := p.get(context.Background(), address)
+	assert.NilError(t, err)
+	defer c.Close()
+	got := 0
+	assert.NilError(t, c.raw.Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	assert.NilError(t, err)
+	assert.Equal(t, time.Duration(got)*time.Millisecond, hopUnacknowledged)
+}
