Let shares rise at once when nothing further down is overloaded

A share rose by 0.4 % per tick near the point at which requests had begun to fail, whatever the present state; a node with few requests followed what destinations told by a fifth with each answer.

Ruled out: cold starts (over at 43 s), bounds of workspaces (no such lines), slow directory (endpoints known).

Change: after 0.5 s without a refused call or a failure of that kind a share rises by 8 % per tick; what a destination tells weighs more after a pause.

--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -27,6 +27,13 @@
 	// throttleBelowEdge is where the slow rise is centred, as a part of the share at
 	// which requests began to fail.
 	throttleBelowEdge = 0.85
+	// After throttleCalm without a sign of overload further down a share rises by
+	// throttleCalmRise per tick, wherever requests began to fail before.
+	throttleCalm     = 500 * time.Millisecond
+	throttleCalmRise = 0.08
+	// throttleCalmRefusing is the part of refused onward calls that is no sign of
+	// overload.
+	throttleCalmRefusing = 0.01
 	// throttleFloor is the lowest share, so that less important requests are not
 	// starved by a long overload, and something tells when it has ended.
 	throttleFloor = 0.15
@@ -67,6 +74,7 @@
 	refused        float64 // decayed sum of the parts of refused onward calls
 	refusing       float64 // latest part of refused onward calls
 	ticked, latest time.Time
+	overloaded     time.Time // latest sign of overload further down
 }
 
 // NewThrottle returns a Throttle that lets everything in.
@@ -94,7 +102,7 @@
 		if !overloaded {
 			return Outlook{Share: 1}
 		}
-		s = &throttled{share: 1, edge: 1, ticked: now}
+		s = &throttled{share: 1, edge: 1, ticked: now, overloaded: now}
 		t.shares[key] = s
 	}
 	s.latest = now
@@ -104,8 +112,11 @@
 	if overloaded {
 		s.failed++
 	}
+	if overloaded || refusing > throttleCalmRefusing {
+		s.overloaded = now
+	}
 	if passed := now.Sub(s.ticked); passed >= throttleTick {
-		s.tick(float64(passed)/float64(throttleTick), tolerated[key.importance])
+		s.tick(float64(passed)/float64(throttleTick), tolerated[key.importance], now.Sub(s.overloaded) >= throttleCalm)
 		s.ticked = now
 		t.forget(now)
 	}
@@ -120,11 +131,15 @@
 	return min(s.refusing*s.failed/s.refused, 1)
 }
 
-// tick changes the share after a number of ticks.
-func (s *throttled) tick(ticks, limit float64) {
+// tick changes the share after a number of ticks. calm tells that nothing further
+// down is overloaded any more.
+func (s *throttled) tick(ticks, limit float64, calm bool) {
 	ticks = min(ticks, float64(throttleMemory/throttleTick)/2)
 	failing := s.failing()
 	switch {
+	case calm:
+		s.falling = false
+		s.share += ticks * throttleCalmRise
 	case failing > limit:
 		if !s.falling {
 			s.edge, s.falling = s.share, true
--- a/admission/throttle_test.go
+++ b/admission/throttle_test.go
@@ -12,7 +12,12 @@
 // overload runs requests through a throttle whose lower services complete only
 // the given rate a second of what is offered. It returns the last share.
 func overload(th *Throttle, now *time.Time, i config.Importance, offered, capacity int, seconds float64) float64 {
-	share, credit, failCredit := 1.0, 0.0, 0.0
+	return overloadFrom(th, now, i, offered, capacity, seconds, 1)
+}
+
+// overloadFrom does the same with a share that was told before.
+func overloadFrom(th *Throttle, now *time.Time, i config.Importance, offered, capacity int, seconds, share float64) float64 {
+	credit, failCredit := 0.0, 0.0
 	step := time.Second / time.Duration(offered)
 	for range int(seconds * float64(offered)) {
 		*now = now.Add(step)
@@ -52,3 +57,15 @@
 	low := overload(th, &now, config.Low, 100, 80, 10)
 	assert.Assert(t, low < 1, "share %v", low)
 }
+
+// Guards against requests that are refused for seconds after the overload further
+// down has ended: from the lowest share, everything is let in again within 3 s.
+func TestThrottleRecovers(t *testing.T) {
+	for _, i := range []config.Importance{config.Low, config.High} {
+		now := time.Unix(0, 0)
+		th := NewThrottle(func() time.Time { return now })
+		share := overload(th, &now, i, 100, 5, 10)
+		assert.Assert(t, share < 0.3, "share %v under heavy overload", share)
+		assert.Equal(t, overloadFrom(th, &now, i, 100, 1000, 3, share), 1.0)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,7 +85,7 @@
 
 func (s *soak) awaitReady(h *host) error {
 	err := harness.Eventually(startLimit, func() error {
-		resp, err := http.Get("http://" + h.at(readyPort) + "/-/readyz")
+		resp, err := http.Get("http://" + h.at(readyPort) + standin.ReadyPath)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/platformserver.go
+++ b/internal/standin/platformserver.go
@@ -29,6 +29,9 @@
 	platformScheme   = "Bearer "
 )
 
+// ReadyPath is where the platform asks a node whether it is ready.
+const ReadyPath = "/-/readyz"
+
 const (
 	// announceLimit is the time in which an announcement has to be acknowledged.
 	announceLimit = time.Second
--- a/node/share.go
+++ b/node/share.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -15,9 +16,11 @@
 	// rises by shareRise a second, because nothing may come to tell a new one.
 	shareAge  = time.Second
 	shareRise = 0.2
-	// shareWeight is the weight of a newly told share in the average over the
-	// destinations.
+	// shareWeight is the least weight of a newly told share in the average over the
+	// destinations. It rises with the time since the one before, so that nodes with
+	// few requests follow as fast as others.
 	shareWeight = 0.2
+	shareMemory = 200 * time.Millisecond
 	// failingWeight is the weight of what a destination tells with one answer in the
 	// part of onward calls that fails.
 	failingWeight = 0.05
@@ -61,7 +64,8 @@
 	share := v.(*toldShare)
 	share.mu.Lock()
 	defer share.mu.Unlock()
-	share.value += (told - share.value) * shareWeight
+	weight := max(shareWeight, 1-math.Exp(-now.Sub(share.at).Seconds()/shareMemory.Seconds()))
+	share.value += (told - share.value) * weight
 	share.at = now
 }
 
--- /dev/null
+++ b/node/share_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dotterelseam/dotterelseam/config"
+)
+
+// Guards against a node with few requests that goes on refusing them for seconds
+// after the destinations let everything in again.
+func TestSharesFollowWithFewRequests(t *testing.T) {
+	var s shares
+	now := time.Unix(0, 0)
+	for range 50 { // overload with many requests
+		now = now.Add(20 * time.Millisecond)
+		s.note("r", config.Low, 0.2, now)
+	}
+	for range 3 { // a second with three answers after its end
+		now = now.Add(330 * time.Millisecond)
+		s.note("r", config.Low, 1, now)
+	}
+	admitted := 0
+	for range 1000 {
+		if s.admits("r", config.Low, now) {
+			admitted++
+		}
+	}
+	assert.Assert(t, admitted > 950, "%d of 1000 requests are admitted", admitted)
+}
+
+// Guards against a share that jumps with each answer while destinations differ.
+func TestSharesAverageDestinations(t *testing.T) {
+	var s shares
+	now := time.Unix(0, 0)
+	for i := range 200 {
+		now = now.Add(5 * time.Millisecond)
+		s.note("r", config.Low, []float64{0.2, 1}[i%2], now)
+	}
+	v, _ := s.byKey.Load(shareKey{"r", config.Low})
+	value := v.(*toldShare).value
+	assert.Assert(t, value > 0.45 && value < 0.75, "share %v of destinations with 0.2 and 1", value)
+}
