Follow what destinations tell by time; raise shares faster the longer it is calm

A node averages the part of failing calls that destinations tell by answers, 5 % each. With a low share it makes few calls, so that the part stays high for seconds and keeps the share low.

Ruled out: "deadline cannot be met" further down (67 at 42 s, 2 at 46 s), bounds, endpoints that are not known.

--- a/admission/throttle.go
+++ b/admission/throttle.go
@@ -27,13 +27,14 @@
 	// throttleBelowEdge is where the slow rise is centred, as a part of the share at
 	// which requests began to fail.
 	throttleBelowEdge = 0.85
-	// After throttleCalm without a sign of overload further down a share rises by
-	// throttleCalmRise per tick, wherever requests began to fail before.
+	// After throttleCalm without a sign of overload further down a share rises,
+	// wherever requests began to fail before, by throttleCalmRise per tick for each
+	// second of calm.
 	throttleCalm     = 500 * time.Millisecond
-	throttleCalmRise = 0.08
+	throttleCalmRise = 0.03
 	// throttleCalmRefusing is the part of refused onward calls that is no sign of
 	// overload.
-	throttleCalmRefusing = 0.01
+	throttleCalmRefusing = 0.002
 	// throttleFloor is the lowest share, so that less important requests are not
 	// starved by a long overload, and something tells when it has ended.
 	throttleFloor = 0.15
@@ -116,7 +117,7 @@
 		s.overloaded = now
 	}
 	if passed := now.Sub(s.ticked); passed >= throttleTick {
-		s.tick(float64(passed)/float64(throttleTick), tolerated[key.importance], now.Sub(s.overloaded) >= throttleCalm)
+		s.tick(float64(passed)/float64(throttleTick), tolerated[key.importance], now.Sub(s.overloaded))
 		s.ticked = now
 		t.forget(now)
 	}
@@ -131,15 +132,15 @@
 	return min(s.refusing*s.failed/s.refused, 1)
 }
 
-// tick changes the share after a number of ticks. calm tells that nothing further
-// down is overloaded any more.
-func (s *throttled) tick(ticks, limit float64, calm bool) {
+// tick changes the share after a number of ticks. calm is the time since the latest
+// sign of overload further down.
+func (s *throttled) tick(ticks, limit float64, calm time.Duration) {
 	ticks = min(ticks, float64(throttleMemory/throttleTick)/2)
 	failing := s.failing()
 	switch {
-	case calm:
+	case calm >= throttleCalm:
 		s.falling = false
-		s.share += ticks * throttleCalmRise
+		s.share += ticks * throttleCalmRise * calm.Seconds()
 	case failing > limit:
 		if !s.falling {
 			s.edge, s.falling = s.share, true
--- a/node/share.go
+++ b/node/share.go
@@ -17,13 +17,12 @@
 	shareAge  = time.Second
 	shareRise = 0.2
 	// shareWeight is the least weight of a newly told share in the average over the
-	// destinations. It rises with the time since the one before, so that nodes with
-	// few requests follow as fast as others.
-	shareWeight = 0.2
-	shareMemory = 200 * time.Millisecond
-	// failingWeight is the weight of what a destination tells with one answer in the
-	// part of onward calls that fails.
+	// destinations, and failingWeight that of a newly told part of failing calls.
+	shareWeight   = 0.2
 	failingWeight = 0.05
+	// toldMemory is the time constant of both averages, so that nodes with few
+	// requests follow as fast as others.
+	toldMemory = 200 * time.Millisecond
 	// shareRetryAfter is told to callers that a share keeps out. It is about the
 	// time in which a share changes noticeably.
 	shareRetryAfter = time.Second
@@ -64,11 +63,16 @@
 	share := v.(*toldShare)
 	share.mu.Lock()
 	defer share.mu.Unlock()
-	weight := max(shareWeight, 1-math.Exp(-now.Sub(share.at).Seconds()/shareMemory.Seconds()))
-	share.value += (told - share.value) * weight
+	share.value += (told - share.value) * toldWeight(shareWeight, now.Sub(share.at))
 	share.at = now
 }
 
+// toldWeight returns the weight of a told value that comes some time after the one
+// before.
+func toldWeight(least float64, after time.Duration) float64 {
+	return max(least, 1-math.Exp(-after.Seconds()/toldMemory.Seconds()))
+}
+
 // admits draws whether a request is within the share.
 func (s *shares) admits(route string, i config.Importance, now time.Time) bool {
 	v, ok := s.byKey.Load(shareKey{route, i})
@@ -112,10 +116,10 @@
 	}
 	f := o.failing[service]
 	if f == nil {
-		f = &toldFailing{}
+		f = &toldFailing{at: now}
 		o.failing[service] = f
 	}
-	f.value += (failing - f.value) * failingWeight
+	f.value += (failing - f.value) * toldWeight(failingWeight, now.Sub(f.at))
 	f.at = now
 }
 
--- a/node/share_test.go
+++ b/node/share_test.go
@@ -43,3 +43,20 @@
 	value := v.(*toldShare).value
 	assert.Assert(t, value > 0.45 && value < 0.75, "share %v of destinations with 0.2 and 1", value)
 }
+
+// Guards against a node with few onward calls that takes a service further down for
+// overloaded for seconds after it has stopped refusing.
+func TestOnwardOverloadEndsWithFewCalls(t *testing.T) {
+	var o onwardOverload
+	now := time.Unix(0, 0)
+	for range 200 {
+		now = now.Add(5 * time.Millisecond)
+		o.told("deep", 0.5, now)
+	}
+	assert.Assert(t, o.refusing(now) > 0.45, "%v", o.refusing(now))
+	for range 3 { // a second with three calls after the end
+		now = now.Add(330 * time.Millisecond)
+		o.told("deep", 0, now)
+	}
+	assert.Assert(t, o.refusing(now) < 0.01, "%v", o.refusing(now))
+}
