--- a/cmd/dotterelsidecar/main.go
+++ b/cmd/dotterelsidecar/main.go
@@ -50,7 +50,7 @@
 
 // checkSettings tells whether the node could start with the settings file as it is now.
 func checkSettings(log logr.Logger, path string) {
-	if _, err := settings.LoadSidecar(path); err != nil {
+	if err := sidecar.CheckSettings(path); err != nil {
 		log.Error(err, "settings_not_valid")
 		return
 	}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -8,11 +8,14 @@
 	"github.com/google/subcommands"
 
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/internal/sidecar"
+	"github.com/dotterelseam/dotterelseam/settings"
 )
 
 type checkCommand struct {
 	*env
-	json bool
+	json          bool
+	node, sidecar string // settings files
 }
 
 // checkReport is the output of check -json.
@@ -27,20 +30,29 @@
 }
 
 func (*checkCommand) Name() string     { return "check" }
-func (*checkCommand) Synopsis() string { return "check operators' files" }
+func (*checkCommand) Synopsis() string { return "check operators' files or the settings of a node" }
 func (*checkCommand) Usage() string {
 	return `check [-json] DIR...
+check -node FILE
+check -sidecar FILE
 Reads every dotterel.yaml and the one fleet.yaml below the directories and
-reports every problem and conflict with file, line and field. Changes nothing.
+reports every problem and conflict with file, line and field. With -node or
+-sidecar, reads the settings file of a dotterelnode or a dotterelsidecar instead.
+Changes nothing.
 Exit codes: 0 no problems, 2 wrong usage, 3 files have problems.
 `
 }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.json, "json", false, "print JSON")
+	f.StringVar(&c.node, "node", "", "settings `file` of a dotterelnode")
+	f.StringVar(&c.sidecar, "sidecar", "", "settings `file` of a dotterelsidecar")
 }
 
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.node != "" || c.sidecar != "" {
+		return c.checkSettings(f)
+	}
 	dirs, fault := directories(f)
 	if fault != "" {
 		return c.usage(f, "%s", fault)
@@ -60,6 +72,25 @@
 	return ExitDone
 }
 
+// checkSettings checks the settings file of a node.
+func (c *checkCommand) checkSettings(f *flag.FlagSet) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.json || c.node != "" && c.sidecar != "" {
+		return c.usage(f, "-node and -sidecar take one file and nothing else")
+	}
+	var err error
+	if c.node != "" {
+		_, err = settings.Load(c.node)
+	} else {
+		err = sidecar.CheckSettings(c.sidecar)
+	}
+	if err != nil {
+		fmt.Fprintln(c.errOut, err)
+		return ExitProblems
+	}
+	fmt.Fprintln(c.out, "no problems")
+	return ExitDone
+}
+
 func check(dirs []string) checkReport {
 	d, problems := config.Load(dirs...)
 	if len(problems) > 0 {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -190,3 +190,33 @@
 	code, _, _ = run("explain", "ab12")
 	assert.Equal(t, code, cli.ExitUsage)
 }
+
+// Guards against settings of a node that are found wrong only when it starts, and
+// against files that are checked as the settings of the other daemon.
+func TestCheckSettings(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	addresses := "addresses: {callers: '127.0.0.1:1', peers: '127.0.0.1:2', announcements: '127.0.0.1:3', ready: '127.0.0.1:4', operators: '127.0.0.1:5'}\n"
+	good := "name: a\ndata_centre: d\nregion: r\nservice: s\nplatform: http://127.0.0.1:9\nannouncement_interval: 1s\nmemory: 1MiB\n"
+	sidecar, twice := write("sidecar.yaml", good+addresses), write("twice.yaml", good+strings.Replace(addresses, ":5'", ":4'", 1))
+	for _, tc := range []struct {
+		args    []string
+		code    subcommands.ExitStatus
+		message string
+	}{
+		{[]string{"check", "-sidecar", sidecar}, cli.ExitDone, ""},
+		{[]string{"check", "-sidecar", twice}, cli.ExitProblems, "127.0.0.1:4 is the address of ready already"},
+		{[]string{"check", "-node", sidecar}, cli.ExitProblems, "cluster_secret"},
+		{[]string{"check", "-sidecar", dir + "/none.yaml"}, cli.ExitProblems, "none.yaml"},
+		{[]string{"check", "-sidecar", sidecar, "more"}, cli.ExitUsage, "take one file"},
+		{[]string{"check", "-sidecar", sidecar, "-node", sidecar}, cli.ExitUsage, "take one file"},
+	} {
+		code, _, errOut := run(tc.args...)
+		assert.Equal(t, code, tc.code, "%v: %s", tc.args, errOut)
+		assert.Assert(t, strings.Contains(errOut, tc.message), "%v: %s", tc.args, errOut)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,6 +67,17 @@
 	left      chan struct{} // closed at the end of Stop
 }
 
+// CheckSettings tells whether a node could start with a settings file. The error is
+// of class settings.ErrInvalid or Error.
+func CheckSettings(path string) error {
+	s, err := settings.LoadSidecar(path)
+	if err != nil {
+		return err
+	}
+	_, err = platform.ParseBounds(s.Bounds)
+	return Error.Wrap(err)
+}
+
 type listeners struct{ callers, peers, announcements, ready, operators net.Listener }
 
 // New binds the listeners of the settings. The error is of class Error.
