--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if !k.planned {
-		defer s.fleet.ledger.mark(&s.fleet.ledger.disturbed)()
+		defer s.fleet.ledger.mark(&s.fleet.ledger.disturbed, nil)()
 	}
 	end := k.begin(s.fleet, i, hosts)
 	if end != nil {
@@ -118,7 +118,7 @@
 			if !h.processBusy.TryLock() {
 				return nil
 			}
-			end := f.ledger.markHost(&f.ledger.paused, h)
+			end := f.ledger.mark(&f.ledger.paused, h)
 			h.signal(syscall.SIGSTOP)
 			return func() { h.signal(syscall.SIGCONT); end(); h.processBusy.Unlock() }
 		})
@@ -258,11 +258,11 @@
 	defer h.processBusy.Unlock()
 	l := h.fleet.ledger
 	from := time.Now()
-	end := l.markHost(&l.stops, h)
+	end := l.mark(&l.stops, h)
 	inTime := h.stop()
 	end()
 	l.mu.Lock()
-	if !inTime && !l.overlaps(l.disturbed, from.Add(-contactTime), time.Now()) {
+	if !inTime && !overlaps(l.disturbed, nil, from.Add(-contactTime), time.Now()) {
 		l.breach("STOP", "", "%s did not end within %v", h.name(), stopLimit)
 	}
 	l.mu.Unlock()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -51,26 +51,25 @@
 
 // ledger holds what callers and backend servers saw, and checks it as it comes.
 type ledger struct {
-	mu         sync.Mutex
-	requests   map[string]*request
-	breaches   []Breach
-	routes     map[string]*route // that any version ever held, by host name
-	keys       map[string]string // workspace of each key that any version ever held
-	disturbed  []span            // unplanned faults
-	stops      []hostSpan        // planned stops
-	paused     []hostSpan
-	workspaces []workspace
+	mu        sync.Mutex
+	requests  map[string]*request
+	breaches  []Breach
+	routes    map[string]*route // that any version ever held, by host name
+	keys      map[string]string // workspace of each key that any version ever held
+	disturbed []span            // unplanned faults, wherever they strike
+	stops     []span            // planned stops of hosts
+	paused    []span            // of hosts
 }
 
-type span struct{ from, to time.Time }
-
-type hostSpan struct {
-	span
-	host *host
+// span is a time in which something happened to a host, or to the fleet if host is
+// nil.
+type span struct {
+	host     *host
+	from, to time.Time // to is zero while it lasts
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]*request{}, routes: map[string]*route{}, keys: map[string]string{}, workspaces: workspaces}
+	return &ledger{requests: map[string]*request{}, routes: map[string]*route{}, keys: map[string]string{}}
 }
 
 // breach notes a broken promise. l.mu is held.
@@ -139,7 +138,7 @@
 	if !r.ended.IsZero() && r.promisedNotRun() {
 		l.breach("REFUSED", run.ID, "runs on %s after it was answered %d", run.Instance, r.status)
 	}
-	if since, ok := h.leavingSince(); ok && run.At.After(since) && !l.during(l.paused, h, since.Add(-drainTime), run.At) {
+	if since, ok := h.leavingSince(); ok && run.At.After(since) && !overlaps(l.paused, h, since.Add(-drainTime), run.At) {
 		l.breach("DRAIN", run.ID, "reached %s %v after it was to get no new work", run.Instance, run.At.Sub(since))
 	}
 }
@@ -167,9 +166,9 @@
 	case r.promisedNotRun() && len(r.runs) > 0:
 		l.breach("REFUSED", r.ID, "answered %d, but ran on %s", status, r.runs[0].Instance)
 	}
-	calm := !l.overlaps(l.disturbed, r.at.Add(-contactTime), at)
+	calm := !overlaps(l.disturbed, nil, r.at.Add(-contactTime), at)
 	waited := at.Sub(r.at)
-	if status == 0 && calm && l.during(l.stops, r.host, r.at, at) && (len(r.runs) > 0 || waited > lossSlack) {
+	if status == 0 && calm && overlaps(l.stops, r.host, r.at, at) && (len(r.runs) > 0 || waited > lossSlack) {
 		l.breach("LOST", r.ID, "no answer after %v at %s, which was stopped as planned", waited, r.host.name())
 	}
 	if r.route != nil && calm && waited > r.route.timeout+answerSlack {
@@ -177,34 +176,19 @@
 	}
 }
 
-func (l *ledger) overlaps(spans []span, from, to time.Time) bool {
-	return slices.ContainsFunc(spans, func(s span) bool { return s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) })
-}
-
-func (l *ledger) during(spans []hostSpan, h *host, from, to time.Time) bool {
-	return slices.ContainsFunc(spans, func(s hostSpan) bool {
+// overlaps reports whether one of the spans of a host overlaps a time.
+func overlaps(spans []span, h *host, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool {
 		return s.host == h && s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
 	})
 }
 
 // mark adds a span that begins now and returns what ends it.
-func (l *ledger) mark(spans *[]span) (end func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	i := len(*spans)
-	*spans = append(*spans, span{from: time.Now()})
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		(*spans)[i].to = time.Now()
-	}
-}
-
-func (l *ledger) markHost(spans *[]hostSpan, h *host) (end func()) {
+func (l *ledger) mark(spans *[]span, h *host) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i := len(*spans)
-	*spans = append(*spans, hostSpan{host: h, span: span{from: time.Now()}})
+	*spans = append(*spans, span{host: h, from: time.Now()})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -223,7 +207,7 @@
 // checkQuota counts the requests of a workspace that were both sent and run in a
 // window.
 func (l *ledger) checkQuota() {
-	for _, w := range l.workspaces {
+	for _, w := range workspaces {
 		if w.rate == 0 {
 			continue
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -197,11 +198,11 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return Error.Wrap(err)
 	}
-	if err := os.WriteFile(dir+"/report.txt", []byte(r.String()), 0o644); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, "report.txt"), []byte(r.String()), 0o644); err != nil {
 		return Error.Wrap(err)
 	}
 	for name, log := range r.Logs {
-		if err := os.WriteFile(dir+"/"+name+".log", []byte(log), 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, name+".log"), []byte(log), 0o644); err != nil {
 			return Error.Wrap(err)
 		}
 	}
