Ask another node for its version when a key or a route is not known here

One of the hosts refused all its callers for their new keys, so it called nobody and heard of the version only 7 s later, from the first call of another node; a second one lost 2 s on a silent connection to the node that it read the version from.

Ruled out: the watch of the store (interrupted as soon as the version is heard of), directory rows (known).

Change: a node that refuses an unknown key or route asks another node for its version, at most once a second; reading from a node is limited to 1 s. The soak draws more planned work for fresh seeds; regression seeds keep their schedules.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -156,8 +156,9 @@
 	a.Announce(endpoint("a", balancer.Serving))
 	b.Announce(endpoint("b", balancer.Serving))
 	both := map[string]balancer.State{"a": balancer.Serving, "b": balancer.Serving}
-	await(t, a, both)
-	peers := httptest.NewServer(a.Handler())
+	other := f.start("other") // knows the rows of a and b from the store
+	await(t, other, both)
+	peers := httptest.NewServer(other.Handler())
 	t.Cleanup(peers.Close)
 
 	away := newFleet(t)
--- a/directory/learn.go
+++ b/directory/learn.go
@@ -97,7 +97,7 @@
 			return
 		case <-d.wanted:
 		}
-		address := d.teacher()
+		address := d.Other()
 		if d.cfg.Client == nil || address == "" || time.Since(latest) < learnInterval {
 			continue
 		}
@@ -108,8 +108,8 @@
 	}
 }
 
-// teacher returns the address of another node to learn from, or "".
-func (d *Directory) teacher() string {
+// Other returns the peers address of a random other node, or "".
+func (d *Directory) Other() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	address, seen := d.heardFrom, 0
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/interrupt"
-	"github.com/dotterelseam/dotterelseam/internal/nodecall"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 )
 
@@ -25,20 +22,9 @@
 	followBackoff = 500 * time.Millisecond
 )
 
-// ConfigurationPath is where nodes read the configuration in force at another one,
-// on the peers listener.
-const ConfigurationPath = "/v1/configuration"
-
-const (
-	fetchLimit = 2 * time.Second
-	maxFetched = 16 << 20 // bytes
-	// behindTime is how long a version that another node knows may be missing here
-	// while the source seems to answer. It is above the usual delay of a change.
-	behindTime = time.Second
-)
-
-// ErrFetch is the class of configurations that could not be read from another node.
-var ErrFetch = errs.Class("configuration of another node")
+// behindTime is how long a version that another node knows may be missing here
+// while the source seems to answer. It is above the usual delay of a change.
+const behindTime = time.Second
 
 // Source holds a configuration under rising versions, which others write.
 type Source interface {
@@ -65,8 +51,9 @@
 	current  atomic.Pointer[followed]
 	watchers []func(*config.Snapshot)
 	up       atomic.Bool
-	fetch    func(ctx context.Context, address string) ([]byte, error) // nil: other nodes are not asked
+	peers    *OtherNodes // nil: other nodes are not asked
 	asking   atomic.Bool
+	doubted  atomic.Int64 // time of the latest question after a doubt, Unix nanoseconds
 	waiting  interrupt.Waiter
 	silence  []func()
 }
@@ -106,11 +93,8 @@
 // Watch calls w after each change. It must be called before Run.
 func (f *Follower) Watch(w func(*config.Snapshot)) { f.watchers = append(f.watchers, w) }
 
-// FetchFrom sets how the configuration in force at another node is read. It must
-// be called before Run.
-func (f *Follower) FetchFrom(fetch func(ctx context.Context, address string) ([]byte, error)) {
-	f.fetch = fetch
-}
+// AskPeers lets the follower read from other nodes. It must be called before Run.
+func (f *Follower) AskPeers(p *OtherNodes) { f.peers = p }
 
 // OnSilence calls f when another node has known a newer version for some time
 // although the source seems to answer: the connection to it may be silent. It must
@@ -121,7 +105,7 @@
 // over from there if the source does not answer, or does not bring it soon. It does
 // not block.
 func (f *Follower) Heard(version uint64, address string) {
-	if s := f.Current(); s != nil && version <= s.Version || f.fetch == nil {
+	if s := f.Current(); s != nil && version <= s.Version || f.peers == nil {
 		return
 	}
 	if !f.asking.CompareAndSwap(false, true) {
@@ -138,7 +122,7 @@
 			}
 			f.interrupt(version)
 		}
-		raw, err := f.fetch(ctx, address)
+		raw, err := f.peers.configuration(ctx, address)
 		if err != nil {
 			f.log.Info("configuration_not_fetched", "from", address, "version", version, "error", err.Error())
 			return
@@ -157,26 +141,6 @@
 	}
 }
 
-// Handler serves the configuration in force, encoded, to other nodes.
-func (f *Follower) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		raw := f.Encoded()
-		if raw == nil {
-			http.NotFound(w, r)
-			return
-		}
-		_, _ = w.Write(raw) // a write error means that the reader is gone
-	})
-}
-
-// ReadFrom reads the configuration that Handler serves at a peers address.
-func ReadFrom(client *http.Client) func(ctx context.Context, address string) ([]byte, error) {
-	return func(ctx context.Context, address string) ([]byte, error) {
-		raw, err := nodecall.Do(ctx, client, http.MethodGet, address, ConfigurationPath, maxFetched)
-		return raw, ErrFetch.Wrap(err)
-	}
-}
-
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var revision uint64
--- a/distribution/follower_test.go
+++ b/distribution/follower_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -110,14 +112,37 @@
 	f := distribution.NewFollower(source, logr.Discard())
 	silent := make(chan struct{}, 1)
 	f.OnSilence(func() { silent <- struct{}{} })
-	f.FetchFrom(func(context.Context, string) ([]byte, error) { return operatorConfig(7), nil })
+	f.AskPeers(&distribution.OtherNodes{Client: http.DefaultClient, Any: func() string { return "" }})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	awaitVersion(t, f, 4)
 	source.version.Store(9)
-	f.Heard(7, "other:1")
+	f.Heard(7, "127.0.0.1:1")
 	<-silent
 	awaitVersion(t, f, 9) // the interrupted call was made again
 }
+
+// Guards against a node that hears of no newer version because it refuses all its
+// callers for keys that it does not know yet, and so calls nobody.
+func TestFollowerInDoubt(t *testing.T) {
+	other := distribution.NewFollower(platform.Configuration{}, logr.Discard())
+	srv := httptest.NewServer(other.Handler())
+	t.Cleanup(srv.Close)
+	source := &silentSource{}
+	source.version.Store(4)
+	f := distribution.NewFollower(source, logr.Discard())
+	f.AskPeers(&distribution.OtherNodes{Client: srv.Client(), Any: func() string { return strings.TrimPrefix(srv.URL, "http://") }})
+	f.Offer(operatorConfig(4), "test")
+	f.Doubt() // the other node knows no version
+	assert.Equal(t, f.Current().Version, uint64(4))
+	other.Offer(operatorConfig(9), "test")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		f.Doubt()
+		if f.Current().Version != 9 {
+			return poll.Continue("still version %d", f.Current().Version)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -95,7 +95,7 @@
 		Members: d.members, Tolerance: bounds.QuotaExcess, Extra: bounds.QuotaSlack,
 		Borrow: (&partition.Borrower{DataCentre: s.DataCentre, Client: peers}).Borrow,
 	})
-	d.config.FetchFrom(distribution.ReadFrom(peers))
+	d.config.AskPeers(&distribution.OtherNodes{Client: peers, Any: d.directory.Other})
 	d.config.OnSilence(d.directory.Resync)
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
@@ -122,6 +122,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST "+partition.LendPath, d.quota.Handler())
 	mux.Handle("GET "+distribution.ConfigurationPath, d.config.Handler())
+	mux.Handle("GET "+distribution.VersionPath, d.config.Handler())
 	mux.Handle("GET "+directory.RowsPath, d.directory.Handler())
 	return mux
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	minFaults, maxFaults = 6, 12
+	minFaults, maxFaults   = 6, 12
+	minPlanned, maxPlanned = 2, 5 // planned work besides
 	// Faults last a random time between these.
 	minFaultTime, maxFaultTime = 300 * time.Millisecond, 5 * time.Second
 	herdPart                   = 0.6 // of the hosts
@@ -42,10 +43,20 @@
 	begin   func(f *fleet, i *Injection, hosts []*host) (end func())
 }
 
-// schedule draws the faults of a seed within a span.
-func schedule(seed uint64, length time.Duration) []Injection {
-	random := rand.New(rand.NewPCG(seed, 0))
-	out := make([]Injection, minFaults+random.IntN(maxFaults-minFaults+1))
+// schedule draws the faults of a run within a span.
+func schedule(o *Options, length time.Duration) []Injection {
+	out := draw(rand.New(rand.NewPCG(o.Seed, 0)), kinds, minFaults, maxFaults, length)
+	if o.PlannedWork {
+		planned := slices.DeleteFunc(slices.Clone(kinds), func(k kind) bool { return !k.planned })
+		out = append(out, draw(rand.New(rand.NewPCG(o.Seed, 2)), planned, minPlanned, maxPlanned, length)...)
+	}
+	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
+	return out
+}
+
+// draw draws a number of injections of some kinds.
+func draw(random *rand.Rand, kinds []kind, least, most int, length time.Duration) []Injection {
+	out := make([]Injection, least+random.IntN(most-least+1))
 	for n := range out {
 		k := &kinds[random.IntN(len(kinds))]
 		i := Injection{
@@ -55,7 +66,6 @@
 		i.Hosts = strikes(random, k.name)
 		out[n] = i
 	}
-	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,23 +59,29 @@
 	random   *rand.Rand
 }
 
-// Run runs the soak of a seed. Settings files are written into dir. The error is of
-// class Error if the soak itself could not run.
-func Run(seed uint64, dir string) (*Report, error) {
+// Options describe a run.
+type Options struct {
+	Seed        uint64
+	PlannedWork bool   // more planned stops, drains and versions, beside the faults
+	Dir         string // for settings files
+}
+
+// Run runs a soak. The error is of class Error if the soak itself could not run.
+func Run(o Options) (*Report, error) {
 	l := newLedger()
-	f, err := startFleet(dir, l)
+	f, err := startFleet(o.Dir, l)
 	if err != nil {
 		return nil, err
 	}
 	defer f.close()
-	s := &soak{fleet: f, operator: &operator{store: f.store, ledger: l}, random: rand.New(rand.NewPCG(seed, 1))}
+	s := &soak{fleet: f, operator: &operator{store: f.store, ledger: l}, random: rand.New(rand.NewPCG(o.Seed, 1))}
 	s.operator.publish()
 	for _, h := range f.hosts {
 		if err := s.awaitReady(h); err != nil {
 			return nil, err
 		}
 	}
-	report := &Report{Seed: seed, Injected: schedule(seed, faultSpan), Logs: map[string]string{}}
+	report := &Report{Seed: o.Seed, Injected: schedule(&o, faultSpan), Logs: map[string]string{}}
 	s.play(report.Injected)
 	l.checkSums()
 	s.checkProcesses(report.Logs)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,21 +14,22 @@
 )
 
 var (
-	seeds = flag.Int("soak.seeds", 0, "number of seeds to soak in place of the regression cases")
-	first = flag.Uint64("soak.first", 0, "first of these seeds; 0 takes fresh ones")
-	logs  = flag.String("soak.logs", "", "folder for the logs of seeds that broke a promise")
+	seeds   = flag.Int("soak.seeds", 0, "number of seeds to soak in place of the regression cases")
+	planned = flag.Bool("soak.planned", true, "more planned work beside the faults of these seeds")
+	first   = flag.Uint64("soak.first", 0, "first of these seeds; 0 takes fresh ones")
+	logs    = flag.String("soak.logs", "", "folder for the logs of seeds that broke a promise")
 )
 
-// regressions are the seeds that run in CI: a first one, and all that ever broke a
-// promise.
+// regressions run in CI: a first short run, and all that ever broke a promise.
 var regressions = []struct {
-	seed  uint64
+	Options
 	cause string
 }{
-	{1, "none: the short run"},
-	{104, "a node stayed at an old configuration while its connection to the store was silent"},
-	{105, "restarted nodes that the store turned away took the whole bound of each workspace"},
-	{206, "as 104, with callers that were refused for their new keys"},
+	{Options{Seed: 1, PlannedWork: true}, "none: the short run"},
+	{Options{Seed: 104}, "a node stayed at an old configuration while its connection to the store was silent"},
+	{Options{Seed: 105}, "restarted nodes that the store turned away took the whole bound of each workspace"},
+	{Options{Seed: 206}, "as 104, with callers that were refused for their new keys"},
+	{Options{Seed: 1043}, "as 104, at a node that refused all callers and so heard of no newer version"},
 }
 
 func TestMain(m *testing.M) {
@@ -40,9 +41,9 @@
 
 // Guards every promise that the ledger checks, while faults of all kinds overlap.
 func TestSoak(t *testing.T) {
-	var list []uint64
+	var list []Options
 	for _, r := range regressions {
-		list = append(list, r.seed)
+		list = append(list, r.Options)
 	}
 	if *seeds > 0 {
 		list = nil
@@ -52,19 +53,20 @@
 		start = uint64(time.Now().UnixNano())
 	}
 	for n := range *seeds {
-		list = append(list, start+uint64(n))
+		list = append(list, Options{Seed: start + uint64(n), PlannedWork: *planned})
 	}
-	for _, seed := range list {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	for _, o := range list {
+		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
 			t.Parallel()
-			report, err := Run(seed, t.TempDir())
+			o.Dir = t.TempDir()
+			report, err := Run(o)
 			assert.NilError(t, err)
 			t.Log(report)
 			if len(report.Breaches) == 0 {
 				return
 			}
 			if *logs != "" {
-				assert.NilError(t, report.Save(filepath.Join(*logs, fmt.Sprint(seed))))
+				assert.NilError(t, report.Save(filepath.Join(*logs, fmt.Sprint(o.Seed))))
 			}
 			t.Errorf("%d promises were broken", len(report.Breaches))
 		})
--- a/node/callers.go
+++ b/node/callers.go
@@ -45,6 +45,9 @@
 	}
 	c, from, refused := n.accept(r)
 	if refused != nil {
+		if n.versions != nil && (refused.Reason == refusal.UnknownKey || refused.Reason == refusal.NoRoute) {
+			n.versions.Doubt()
+		}
 		n.burn.record(routeSeries(from.Service, from.Route), report.OfRefusal(refused, false), n.now())
 		n.refuseUnaccepted(w, r, &from, refused)
 		return
--- a/node/deps.go
+++ b/node/deps.go
@@ -23,6 +23,9 @@
 	// Heard tells that the node at a peers address has a version in force. It does
 	// not block.
 	Heard(version uint64, address string)
+	// Doubt tells that a request names a key or a route that is not in force, which
+	// a newer version may hold. It does not block.
+	Doubt()
 }
 
 // PeerListener is a Directory that wants to know which other nodes live.
