--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -165,9 +165,10 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	p := NewListener(l)
-	release := make(chan struct{})
+	arrived, release := make(chan struct{}), make(chan struct{})
 	srv := &http.Server{ConnState: State, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/0" {
+			close(arrived)
 			<-release
 		}
 		_, _ = io.WriteString(w, r.URL.Path)
@@ -177,6 +178,7 @@
 	conn, r := dial(t, l.Addr().String())
 	_, err = io.WriteString(conn, get("/0"))
 	assert.NilError(t, err)
+	<-arrived // a connection that nobody has accepted yet is not open
 	assert.NilError(t, p.Refuse())
 	_, err = io.WriteString(conn, get("/1"))
 	assert.NilError(t, err)
