Remove Follower.Encoded, which nothing calls any more

The handler for other nodes reads the followed configuration itself since it serves the version too. No change of behaviour; tests of distribution, vet and staticcheck run.

--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -79,14 +79,6 @@
 	return nil
 }
 
-// Encoded returns the configuration in force as the Source holds it, or nil.
-func (f *Follower) Encoded() []byte {
-	if c := f.current.Load(); c != nil {
-		return c.raw
-	}
-	return nil
-}
-
 // Reachable reports whether the source answered the latest call.
 func (f *Follower) Reachable() bool { return f.up.Load() }
 
