node: do not take refusals of a server with free slots for overload

The node beside a server keeps the requests in flight within the announced slots, so these refusals do not depend on load. Change: with an exact limit the refusal has the reason backend_failed, not run. It is retried elsewhere from the retry budget; the endpoint is not ejected, since a fixed share often gives five failures in a row; a caller may return after 50 ms. Test: TestFixedRefusalsDoNotThrottleEntry failed first (call 105 refused as overload).

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -148,6 +148,11 @@
 	c.ramp = ramp{start: now, duration: int64(d)}
 }
 
+// LimitIsExact reports whether the limit is the number of slots that the backend server
+// announced. A request that the backend server refuses in spite of it was not refused
+// for lack of slots.
+func (c *Controller) LimitIsExact() bool { return c.limiter.fixed }
+
 // limit returns the current concurrency limit. c.mu must be held.
 func (c *Controller) limit(now int64) int { return c.ramp.apply(now, c.limiter.current()) }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -95,6 +95,7 @@
 	routes := []string{
 		route("read.example", "idempotent", "shop", ""), route("order.example", "non_idempotent", "shop", ""),
 		route("open.example", "idempotent", "shop", `,"allowAnonymous":true`), route("none.example", "idempotent", "ghost", ""),
+		route("front.example", "idempotent", "front", ""),
 	}
 	f.standIn.Write("op", "config", fmt.Appendf(nil, `{"version":"r%d","routes":{%s},"services":{"shop":{"maxConnections":50}},"limits":{},"tenants":{%s}}`,
 		version, strings.Join(routes, ","), tenants))
@@ -348,6 +349,37 @@
 	assert.Assert(t, len(good.requests()) >= 10)
 }
 
+// Guards against entry nodes that refuse callers because a service further down refuses a
+// fixed share of its calls: fewer requests do not make that share smaller.
+func TestFixedRefusalsDoNotThrottleEntry(t *testing.T) {
+	const calls = 300
+	f := newFleet(t)
+	shop, front := f.host("shop-1", "shop"), f.host("front-1", "front")
+	f.configure(4, farm)
+	front.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Server-Seal", "seal")
+		if onward := front.call("GET", "open.example", ""); onward.status != http.StatusOK {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	front.awaitServing("front.example")
+	var received atomic.Int64
+	shop.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+		if received.Add(1)%2 == 0 {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("X-Server-Seal", "seal")
+	})
+	before := len(front.requests())
+	for i := range calls {
+		answer := front.call("GET", "front.example", "k1")
+		assert.Assert(t, answer.status == http.StatusOK || answer.status == http.StatusInternalServerError, "call %d: status %d: %s", i, answer.status, answer.body)
+	}
+	assert.Equal(t, len(front.requests())-before, calls)
+}
+
 // Guards against new requests to a draining backend server, and against one that is
 // used again after a late announcement.
 func TestDrain(t *testing.T) {
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelseam/dotterelseam/admission"
 	"github.com/dotterelseam/dotterelseam/attempt"
+	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/peer"
@@ -207,13 +208,24 @@
 		return d.shedWith(refusal.New(refusal.Draining, "the backend server is draining"))
 	}
 	d.node.probeHealth(d.backend)
+	if d.backend.admission.LimitIsExact() {
+		return d.shedWith(errRefusedWithFreeSlots)
+	}
 	return d.shedWith(refusal.New(refusal.Overload, "the backend server refused the request"))
 }
 
+// failedRetryAfter is the Retry-After of requests that a faulty backend server refused.
+// The refusal does not depend on load, so an early return does no harm.
+const failedRetryAfter = 50 * time.Millisecond
+
+// errRefusedWithFreeSlots does not have the reason Overload: if fewer requests were
+// sent, the backend server would refuse the same share of them.
+var errRefusedWithFreeSlots = refusal.New(refusal.BackendFailed, "the backend server refused the request although it has free slots").WithRetryAfter(failedRetryAfter)
+
 // shedWith returns the failure for a refusal by the backend server itself.
 func (d *delivery) shedWith(r *refusal.Refusal) *failure {
 	f := d.refuse(r, admission.Shed)
-	f.result.ShedByBackend = true
+	f.result.ShedByBackend, f.outcome = true, balancer.Refused
 	return f
 }
 
--- a/node/hop.go
+++ b/node/hop.go
@@ -124,6 +124,9 @@
 	f.unreachable = resp.StatusCode == http.StatusMisdirectedRequest
 	result, ok := decodeResult(resp.Header.Get(peer.TrailerHopResult))
 	f.result, f.resultReceived = result, ok
+	if result.ShedByBackend {
+		f.outcome = balancer.Refused // the node answered, so the endpoint is not ejected
+	}
 	return x.fail(f, hop)
 }
 
