node: let calls of backend servers wait in the queue; throttled callers return in time

Cause: when the deepest service is full, its nodes refused calls of servers after an eighth of their objective (38 ms for a 300 ms one). Each refusal failed a request that had run elsewhere, and the failures, not the load, set the admit ratios at the entry. Throttled callers were told 1 s, so answers to those that came back missed the objective. Calls without a key wait up to their objective. Retry-After of throttled callers is a quarter of the objective, at most 1 s.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -45,6 +45,7 @@
 	Importance config.Importance
 	RequestID  string        // set by the caller, may be empty
 	Timeout    time.Duration // set by the caller, 0 if it sets none
+	Onward     bool          // taken for a call of a backend server, which belongs to a request that has been admitted
 }
 
 // Delivery describes one delivery of a request to a backend server.
--- a/node/admitratio.go
+++ b/node/admitratio.go
@@ -26,9 +26,11 @@
 	// averageTimeConstant is the time constant of both averages, so that nodes with
 	// few requests follow as fast as others.
 	averageTimeConstant = 200 * time.Millisecond
-	// overloadRetryAfter is the Retry-After of requests that are refused because of an
-	// admit ratio. It is about the time in which an admit ratio changes noticeably.
-	overloadRetryAfter = time.Second
+	// throttledRetryFraction is the Retry-After of requests that are refused because of
+	// an admit ratio, as a fraction of the latency objective: a caller that comes back
+	// can still be answered within the objective. It is at most maxThrottledRetryAfter.
+	throttledRetryFraction = 1.0 / 4
+	maxThrottledRetryAfter = time.Second
 	// onwardRefusalWindow is how long refused onward calls explain a failed request,
 	// and onwardRefusalCount how many there must have been in that time.
 	onwardRefusalWindow = 500 * time.Millisecond
@@ -95,7 +97,17 @@
 	return value >= 1 || rand.Float64() < value
 }
 
-var errOnwardOverload = refusal.New(refusal.Overload, "a service further down is overloaded").WithRetryAfter(overloadRetryAfter)
+var errOnwardOverload = refusal.New(refusal.Overload, "a service further down is overloaded").WithRetryAfter(maxThrottledRetryAfter)
+
+// throttled returns the refusal of a call because of its admit ratio.
+func (c *call) throttled() *refusal.Refusal {
+	objective := c.route.Objective.Latency
+	if objective <= 0 {
+		return errOnwardOverload
+	}
+	wait := time.Duration(throttledRetryFraction * float64(objective))
+	return errOnwardOverload.WithRetryAfter(min(wait, maxThrottledRetryAfter))
+}
 
 // onwardOverload holds the times of the latest onward calls refused for overload and
 // the failure ratio of each service. It is used if the protocol does not propagate the
--- a/node/backend.go
+++ b/node/backend.go
@@ -27,6 +27,7 @@
 
 // backendTracker holds the current backendServer. It is safe for concurrent use.
 type backendTracker struct {
+	dial          dialFunc                      // nil: TCP
 	lifetime      time.Duration                 // how long an announcement is valid
 	current       atomic.Pointer[backendServer] // nil without a valid announcement
 	lastAnnounced atomic.Int64                  // Unix time of the last announcement, ns
@@ -97,7 +98,7 @@
 		return false
 	}
 	b := &backendServer{Announcement: a, state: edge.States[a.State]}
-	b.inheritFrom(old, limits)
+	b.inheritFrom(old, limits, t.dial)
 	t.current.Store(b)
 	if old != nil && old.conns != b.conns {
 		old.conns.close()
@@ -107,12 +108,13 @@
 
 // inheritFrom sets up the connection pool and the admission control of b. It reuses
 // those of old if old is the same backend server.
-func (b *backendServer) inheritFrom(old *backendServer, limits admission.Config) {
+func (b *backendServer) inheritFrom(old *backendServer, limits admission.Config, dial dialFunc) {
 	same := old != nil && old.Address == b.Address && old.Service == b.Service && old.Instance == b.Instance
 	if same && old.Connections == b.Connections {
 		b.conns = old.conns
 	} else {
 		b.conns = newConnPool(nil, backendDialTimeout, backendIdleTimeout, b.Connections, b.Connections)
+		b.conns.dialFunc = dial
 	}
 	if same {
 		b.admission = old.admission
--- a/node/call.go
+++ b/node/call.go
@@ -28,6 +28,7 @@
 	route    *config.Route
 	req      *inboundRequest
 	budget   *attempt.Budget
+	onward   bool          // taken for a call of a backend server
 	admitted bool          // part of a call tree that has already been admitted (an onward call)
 	parent   *attempt.Call // nil for a caller's request
 
@@ -176,10 +177,12 @@
 
 // Fractions of the latency objective that a request may wait in the admission queue. A
 // refusal after a longer wait costs the caller noticeably more time than an immediate
-// one.
+// one. A call of a backend server may wait longer, because its refusal wastes all the
+// work on the request that it belongs to.
 const (
 	queueWaitFraction         = 1.0 / 8
 	queueWaitFractionCritical = 1.0 / 4
+	queueWaitFractionOnward   = 1.0
 )
 
 // maxQueueWait returns the longest time in the admission queue, or 0 for the default.
@@ -188,7 +191,10 @@
 		return 0
 	}
 	fraction := queueWaitFraction
-	if c.info.Importance == config.Critical {
+	switch {
+	case c.onward:
+		fraction = queueWaitFractionOnward
+	case c.info.Importance == config.Critical:
 		fraction = queueWaitFractionCritical
 	}
 	return time.Duration(fraction * float64(c.route.Objective.Latency))
--- a/node/callers.go
+++ b/node/callers.go
@@ -87,6 +87,7 @@
 		CallID: newCallID(), RequestID: parsed.RequestID, Workspace: parsed.Workspace,
 		Importance: parsed.Importance, Deadline: c.req.deadline,
 	}
+	c.onward = parsed.Onward
 	c.budget = attempt.NewBudget(route.Attempts)
 	if w, known := snapshot.Workspace(parsed.Workspace); known {
 		n.burn.recordDemand(w, c.arrived)
@@ -135,7 +136,7 @@
 		return nil
 	}
 	if !c.dest.admitRatios.admits(c.route.Pattern, c.info.Importance, c.arrived) {
-		return errOnwardOverload
+		return c.throttled()
 	}
 	charge, err := n.cfg.Quota.Charge(ctx, c.info.Workspace)
 	if err != nil {
--- a/node/config.go
+++ b/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -63,6 +64,10 @@
 	// do not name it.
 	Service string
 
+	// Dial opens the connections to other nodes and to the backend server; default: TCP
+	// connections from SourceIP. It must be safe for concurrent use.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	Protocol      edge.Protocol // spoken by callers and backend servers; default: the project's own protocol
 	Configuration Configuration
 	Keys          KeyLookup // required if Protocol propagates the call context
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 		stopped: make(chan struct{}),
 	}
 	n.hops.dialer.Control = keepalive.UserTimeout(hopUnackedTimeout)
+	n.hops.dialFunc, n.backend.dial = cfg.Dial, cfg.Dial
 	n.throttle = admission.NewThrottle(cfg.Clock)
 	n.versions, _ = cfg.Configuration.(VersionObserver)
 	n.peers, _ = cfg.Directory.(PeerObserver)
--- a/node/pool.go
+++ b/node/pool.go
@@ -13,9 +13,13 @@
 
 const connBufferBytes = 4 << 10
 
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // connPool keeps idle connections for later exchanges. It is safe for concurrent use.
 type connPool struct {
 	dialer      net.Dialer
+	dialFunc    dialFunc      // replaces dialer unless nil
 	idleTimeout time.Duration // idle connections are closed after this time
 	maxIdle     int           // per address
 	slots       chan struct{} // one element for each exchange in progress; nil without a limit
@@ -66,7 +70,7 @@
 }
 
 func (p *connPool) dial(ctx context.Context, address string) (*pooledConn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.open(ctx, address)
 	if err != nil {
 		p.releaseSlot()
 		return nil, err
@@ -79,6 +83,13 @@
 	return c, nil
 }
 
+func (p *connPool) open(ctx context.Context, address string) (net.Conn, error) {
+	if p.dialFunc != nil {
+		return p.dialFunc(ctx, address)
+	}
+	return p.dialer.DialContext(ctx, "tcp", address)
+}
+
 func (p *connPool) takeIdle(address string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
