retry: a full bucket allows a retry at every importance

Cause: the reserve for more important calls was a quarter of the bucket for each level. With the three tokens of a node on the users' platform a call of low importance had to leave 2.25 and needed 3.25, so it was never retried. Change: the reserve is a share of the bucket beyond one retry. Test: TestReserveOfSmallBucket failed first (burst 1, importance low); TestReserve holds.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -91,10 +91,11 @@
 func (p *Policy) Tokens() float64 { return float64(p.tokens.Load()) / tokensPerRetry }
 
 // reservedTokens returns the tokens that calls of importance i must leave to more
-// important ones: a quarter of the bucket for each higher level.
+// important ones: for each higher level a quarter of the bucket beyond one retry. So
+// a full bucket allows one retry at every level.
 func (p *Policy) reservedTokens(i config.Importance) int64 {
 	above := int64(config.Critical - min(i, config.Critical))
-	return int64(p.cfg.Burst) * tokensPerRetry * above / config.ImportanceLevels
+	return int64(p.cfg.Burst-1) * tokensPerRetry * above / config.ImportanceLevels
 }
 
 // takeToken refills the bucket by MinPerSecond and takes the tokens of one retry, unless
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -113,6 +113,21 @@
 	}
 }
 
+// Guards against a small bucket whose reserve for important calls is larger than what a
+// less important call may ever take, so that such calls are never retried.
+func TestReserveOfSmallBucket(t *testing.T) {
+	for burst := 1; burst <= 4; burst++ {
+		for i := config.Low; i <= config.Critical; i++ {
+			now := start
+			p := newTestPolicy(&now, Config{Burst: burst})
+			a := failedTry
+			a.Importance = i
+			_, ok := p.Allow(a)
+			assert.Assert(t, ok, "burst %d, importance %s", burst, i)
+		}
+	}
+}
+
 // Guards against a backoff that exceeds MaxBackoff or is the same for all callers, and
 // against a delay that passes the deadline.
 func TestDelay(t *testing.T) {
