process: a SIGTERM is not lost behind SIGHUPs

Cause: SIGHUP and SIGTERM shared one channel of length 1. While a reload ran and another SIGHUP waited, a SIGTERM was dropped, and the process ran on until it was killed at the end of its grace time. Change: two channels; reloads run on a goroutine of their own and do not delay a stop.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -38,11 +38,25 @@
 
 // Run runs d until SIGTERM or SIGINT, performs the planned stop within stopLimit and
 // returns the exit code. An error of Stop other than node.ErrStopLimit does not
-// change the exit code. Run calls reload at each SIGHUP; further signals are handled
-// only after reload has returned, so it must not block.
+// change the exit code. Run calls reload at each SIGHUP, one call at a time; signals that
+// arrive during a call are combined into one. A reload does not delay a stop.
 func Run(d Daemon, log logr.Logger, stopLimit time.Duration, reload func()) int {
+	return run(d, log, stopLimit, reload, func() {})
+}
+
+// run implements Run. It calls ready when signals are handled.
+func run(d Daemon, log logr.Logger, stopLimit time.Duration, reload, ready func()) int {
+	stop, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(stop)
+	defer signal.Stop(hangUp)
+	ended := make(chan struct{})
+	defer close(ended)
+	go reloadOnSignal(hangUp, ended, reload)
+	ready()
 	stopped := make(chan error, 1)
-	go func() { stopped <- stopOnSignal(d, stopLimit, reload) }()
+	go func() { stopped <- stopOnSignal(d, stop, stopLimit) }()
 	if err := d.Run(context.Background()); err != nil {
 		log.Error(err, "run_failed")
 		return ExitFailed
@@ -54,17 +68,22 @@
 	return ExitStopped
 }
 
-// stopOnSignal calls reload at each SIGHUP and stops d at SIGTERM or SIGINT. The
-// error is of class node.ErrStopLimit if limit passes.
-func stopOnSignal(d Daemon, limit time.Duration, reload func()) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+// reloadOnSignal calls reload at each signal until ended is closed.
+func reloadOnSignal(signals <-chan os.Signal, ended <-chan struct{}, reload func()) {
+	for {
+		select {
+		case <-signals:
+			reload()
+		case <-ended:
+			return
 		}
-		reload()
 	}
+}
+
+// stopOnSignal stops d at a signal. The error is of class node.ErrStopLimit if limit
+// passes.
+func stopOnSignal(d Daemon, signals <-chan os.Signal, limit time.Duration) error {
+	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	err := d.Stop(ctx)
