node: bound what is read of refusals; measure ages by the steady clock

A server that sends the body byte by byte held a request that another server could have run until its deadline. Change: bodies of refusals, of servers and of other nodes, get 50 ms; what is longer closes the connection. Ruled out by the other rows of the test: status lines, headers, interim answers, chunk sizes and chunk extensions without end were bounded already.

Cause 2: the age of an announcement, of a drain signal, of refused onward calls and of the latest question for a version were differences of the time of day. If it is set forward by more than the lifetime, the host's own server counts as gone until its next heartbeat; if backward, a drain signal lasts longer. Change: times since the start of the node by the steady clock.

--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -58,7 +58,8 @@
 	sourceReachable  atomic.Bool
 	peerClient       *PeerClient  // nil: the configuration is not read from other nodes
 	fetching         atomic.Bool  // a fetch of ObserveVersion is in progress
-	lastVersionCheck atomic.Int64 // time of the latest CheckForUpdate that asked another node, Unix nanoseconds
+	epoch            time.Time    // creation of the follower
+	lastVersionCheck atomic.Int64 // time of the latest CheckForUpdate that asked another node, ns since epoch; 0: none
 	interrupter      interrupt.Interrupter
 	stallWatchers    []func()
 }
@@ -72,7 +73,7 @@
 
 // NewFollower returns a Follower without a configuration.
 func NewFollower(source Source, log logr.Logger) *Follower {
-	f := &Follower{source: source, log: log}
+	f := &Follower{source: source, log: log, epoch: time.Now()}
 	f.sourceReachable.Store(true)
 	return f
 }
--- a/distribution/peerclient.go
+++ b/distribution/peerclient.go
@@ -61,8 +61,8 @@
 // refers to a key or a route that is not configured here and may belong to a newer
 // version. It does not block.
 func (f *Follower) CheckForUpdate() {
-	now, latest := time.Now().UnixNano(), f.lastVersionCheck.Load()
-	if f.peerClient == nil || now-latest < int64(versionCheckInterval) || !f.lastVersionCheck.CompareAndSwap(latest, now) {
+	now, latest := max(int64(time.Since(f.epoch)), 1), f.lastVersionCheck.Load()
+	if f.peerClient == nil || latest != 0 && now-latest < int64(versionCheckInterval) || !f.lastVersionCheck.CompareAndSwap(latest, now) {
 		return
 	}
 	address := f.peerClient.PickPeer()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -349,6 +349,65 @@
 	assert.Assert(t, len(good.requests()) >= 10)
 }
 
+// sendWithoutEnd returns a handler that sends start, then repeats more until the node
+// closes the connection. It pauses between repetitions.
+func sendWithoutEnd(start, more string, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, start)
+		for err == nil {
+			time.Sleep(pause)
+			_, err = io.WriteString(conn, more)
+		}
+	}
+}
+
+// Guards against answers without end that hold a request until its deadline, or for which
+// memory grows, although the request could run elsewhere.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+	for name, response := range map[string]http.HandlerFunc{
+		"status line":                 sendWithoutEnd("HTTP/1.1 200 ", strings.Repeat("x", 1<<10), 0),
+		"headers":                     sendWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 1<<10)+"\r\n", 0),
+		"one header":                  sendWithoutEnd("HTTP/1.1 200 OK\r\nX-More: ", strings.Repeat("x", 1<<10), 0),
+		"interim answers":             sendWithoutEnd("", "HTTP/1.1 102 Processing\r\n\r\n", 0),
+		"no HTTP":                     sendWithoutEnd("", strings.Repeat("x", 1<<10)+"\n", 0),
+		"chunk size":                  sendWithoutEnd("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 1<<10), 0),
+		"chunk extension":             sendWithoutEnd("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 1<<10), 0),
+		"refusal, chunked, slowly":    sendWithoutEnd(refusal+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", pause),
+		"refusal, no length, slowly":  sendWithoutEnd(refusal+"\r\n", "x", pause),
+		"refusal, long body, slowly":  sendWithoutEnd(refusal+"Content-Length: 4000\r\n\r\n", "x", pause),
+		"refusal, no length, at once": sendWithoutEnd(refusal+"\r\n", strings.Repeat("x", 1<<10), 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			bad, _, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+			f.configure(4, farm)
+			entry.awaitServing("read.example")
+			bad.setResponse(response)
+			before := len(bad.requests())
+			for round := 0; round < 20 && len(bad.requests()) == before; round++ {
+				var wg sync.WaitGroup
+				answers := make([]result, 3) // at once, so that they do not all go to the same server
+				for i := range answers {
+					wg.Go(func() { answers[i] = entry.call("GET", "read.example", "k1") })
+				}
+				wg.Wait()
+				for _, answer := range answers {
+					assert.Equal(t, answer.status, http.StatusOK, answer.body)
+					assert.Equal(t, answer.body, "shop-2GET/x")
+				}
+			}
+			assert.Assert(t, len(bad.requests()) > before, "no request reached the faulty server")
+		})
+	}
+}
+
 // Guards against entry nodes that refuse callers because a service further down refuses a
 // fixed share of its calls: fewer requests do not make that share smaller.
 func TestFixedRefusalsDoNotThrottleEntry(t *testing.T) {
--- a/node/admitratio.go
+++ b/node/admitratio.go
@@ -114,8 +114,9 @@
 // call context, so that onward calls cannot be attributed to the requests that cause
 // them. It is safe for concurrent use.
 type onwardOverload struct {
+	epoch     time.Time // start of the node
 	next      atomic.Uint32
-	refusedAt [onwardRefusalCount]atomic.Int64
+	refusedAt [onwardRefusalCount]atomic.Int64 // ns since epoch; 0: none
 
 	mu            sync.Mutex
 	failureRatios map[string]*failureRatio // by service
@@ -159,14 +160,15 @@
 }
 
 func (o *onwardOverload) recordRefusal(now time.Time) {
-	o.refusedAt[o.next.Add(1)%onwardRefusalCount].Store(now.UnixNano())
+	o.refusedAt[o.next.Add(1)%onwardRefusalCount].Store(max(int64(now.Sub(o.epoch)), 1))
 }
 
 // refusedRecently reports whether onwardRefusalCount onward calls were refused within
 // the last onwardRefusalWindow.
 func (o *onwardOverload) refusedRecently(now time.Time) bool {
 	for i := range o.refusedAt {
-		if now.UnixNano()-o.refusedAt[i].Load() > int64(onwardRefusalWindow) {
+		at := o.refusedAt[i].Load()
+		if at == 0 || int64(now.Sub(o.epoch))-at > int64(onwardRefusalWindow) {
 			return false
 		}
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -30,8 +30,9 @@
 	dial          dialFunc                      // nil: TCP
 	lifetime      time.Duration                 // how long an announcement is valid
 	current       atomic.Pointer[backendServer] // nil without a valid announcement
-	lastAnnounced atomic.Int64                  // Unix time of the last announcement, ns
-	drainUntil    atomic.Int64                  // Unix time at which the last drain signal expires, ns
+	epoch         time.Time                     // start of the node
+	lastAnnounced atomic.Int64                  // time of the last announcement, ns since epoch
+	drainUntil    atomic.Int64                  // time at which the last drain signal expires, ns since epoch
 	probing       atomic.Bool
 
 	mu             sync.Mutex        // serialises changes of current; guards latest and withdrawnStart
@@ -39,6 +40,10 @@
 	withdrawnStart int64             // Started of the backend server that was withdrawn last, or 0
 }
 
+// since returns the time since epoch in nanoseconds. It does not change when the time of
+// day is set.
+func (t *backendTracker) since(now time.Time) int64 { return int64(now.Sub(t.epoch)) }
+
 // outdated reports whether a is older than the latest announcement or, if it has a
 // sequence number, comes from a backend server that has been withdrawn. t.mu must be
 // held.
@@ -69,7 +74,7 @@
 	switch {
 	case b == nil || b.Service != service:
 		return nil, refusal.New(refusal.NoBackendServer, "no backend server of %s is announced on this host", service)
-	case now.UnixNano()-t.lastAnnounced.Load() > int64(t.lifetime):
+	case t.since(now)-t.lastAnnounced.Load() > int64(t.lifetime):
 		return nil, refusal.New(refusal.NoBackendServer, "the announcement of the backend server has expired")
 	case t.draining(b, now):
 		return nil, refusal.New(refusal.Draining, "the backend server is draining")
@@ -80,7 +85,7 @@
 }
 
 func (t *backendTracker) draining(b *backendServer, now time.Time) bool {
-	return b.state == balancer.Draining || now.UnixNano() < t.drainUntil.Load()
+	return b.state == balancer.Draining || t.since(now) < t.drainUntil.Load()
 }
 
 // applyAnnouncement applies a valid announcement and reports whether it changed the
@@ -92,7 +97,7 @@
 		return false
 	}
 	t.latest = a
-	t.lastAnnounced.Store(now.UnixNano())
+	t.lastAnnounced.Store(t.since(now))
 	old := t.current.Load()
 	if old != nil && equalExceptSequence(old.Announcement, a) {
 		return false
@@ -151,7 +156,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.current.Load()
-	if b == nil || now.UnixNano()-t.lastAnnounced.Load() <= int64(t.lifetime) {
+	if b == nil || t.since(now)-t.lastAnnounced.Load() <= int64(t.lifetime) {
 		return false
 	}
 	t.current.Store(nil)
@@ -164,6 +169,6 @@
 func (t *backendTracker) noteDraining(now time.Time) bool {
 	b := t.current.Load()
 	changed := b != nil && !t.draining(b, now)
-	t.drainUntil.Store(now.Add(drainSignalLifetime).UnixNano())
+	t.drainUntil.Store(t.since(now.Add(drainSignalLifetime)))
 	return changed
 }
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -199,9 +198,7 @@
 // shedFailure returns the failure for a response by which the backend server reports
 // that it did not run the request.
 func (d *delivery) shedFailure(resp *http.Response, draining bool) *failure {
-	// Reading the rest of the short body lets the connection be reused.
-	_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
-	_ = resp.Body.Close()
+	readShortBody(resp) // a connection whose answer was read to its end can be reused
 	if draining {
 		d.draining = true
 		d.node.noteBackendDraining("refusal")
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -30,8 +30,11 @@
 	peersIdleTimeout = 90 * time.Second
 	// backendIdleTimeout is below the shortest common keep-alive timeout of HTTP
 	// servers, 5 s.
-	backendIdleTimeout        = 4 * time.Second
-	maxIdleHopConns           = 256      // per node
+	backendIdleTimeout = 4 * time.Second
+	maxIdleHopConns    = 256 // per node
+	// refusalBodyTimeout is several round trips between data centres. The body of a
+	// refusal normally arrives with its header.
+	refusalBodyTimeout        = 50 * time.Millisecond
 	maxResponseHeaderBytes    = 64 << 10 // bytes
 	maxInformationalResponses = 8        // 1xx responses before the final one
 )
@@ -157,6 +160,31 @@
 	return nil
 }
 
+// readShortBody returns the short body of a response of roundTrip and closes it.
+func readShortBody(resp *http.Response) []byte {
+	x, ok := resp.Body.(*exchange)
+	if !ok || x.conn == nil {
+		return nil
+	}
+	return x.readShort()
+}
+
+// readShort reads a body of which only up to maxRefusalBody bytes that arrive within
+// refusalBodyTimeout are of use, and closes it. A longer body, or one that has not ended
+// by then, closes the connection; without these limits, a peer that sends a body without
+// end would hold the request until its deadline.
+func (x *exchange) readShort() []byte {
+	_ = x.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)) // after an error the deadline of the request applies
+	body, err := io.ReadAll(io.LimitReader(x, maxRefusalBody))
+	if err == nil && len(body) < maxRefusalBody {
+		_ = x.conn.SetReadDeadline(time.Time{})
+	} else {
+		x.bodyRead = false
+	}
+	_ = x.Close()
+	return body
+}
+
 func (x *exchange) requestComplete() bool {
 	if x.bodyWritten == nil {
 		return true
--- a/node/hop.go
+++ b/node/hop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -114,9 +113,7 @@
 
 // parseRefusal returns the failure for a refusal of the destination node.
 func (x *hopExchange) parseRefusal(resp *http.Response, hop *peer.Hop) *failure {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBody))
-	_ = resp.Body.Close()
-	r, _ := refusal.Parse(resp.Header, body)
+	r, _ := refusal.Parse(resp.Header, readShortBody(resp))
 	if r.Ran != refusal.RanNo && r.Ran != refusal.RanYes {
 		r.Ran = refusal.RanMaybe
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,8 @@
 	n.throttle = admission.NewThrottle(cfg.Clock)
 	n.versions, _ = cfg.Configuration.(VersionObserver)
 	n.peers, _ = cfg.Directory.(PeerObserver)
-	n.backend.lifetime = cfg.AnnouncementLifetime
+	n.backend.lifetime, n.backend.epoch = cfg.AnnouncementLifetime, cfg.Clock()
+	n.onward.epoch = n.backend.epoch
 	cfg.Directory.Watch(n.updateDestination)
 	n.callers = pipeline.NewListener(cfg.Callers)
 	n.cfg.Callers = n.callers
