--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,9 +34,9 @@
 	// after which a backend server counts as stopped. It can be high because a crashed
 	// server is detected earlier, by its refused connections.
 	lifetimeIntervals = 6
-	// stopReserve is the part of the stop limit that is reserved for the exit of the
-	// process.
-	stopReserve = 500 * time.Millisecond
+	// stopReserve is the part of the stop limit that is reserved for the last log lines
+	// and the exit of the process.
+	stopReserve = time.Second
 	// drainDelay is how long a stopping node still accepts requests, until callers and
 	// other nodes have learnt that it is not ready any more.
 	drainDelay = 2200 * time.Millisecond
