sidecar: test of second copies of answers

Guards against what operators of similar systems reported: a copy of an answer that arrives with the answer, while the connection is idle, or after the next request. It can't happen here: the ID of an answer is compared, and a connection with unread bytes is not used again.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -153,6 +153,7 @@
 	status int
 	body   string
 	header http.Header
+	id     string // of the request
 }
 
 var attempts atomic.Int64
@@ -163,7 +164,8 @@
 	req, err := http.NewRequest(method, "http://"+h.sidecar.settings.Addresses.Callers+"/x", nil)
 	assert.NilError(h.fleet.t, err)
 	req.Host = hostName
-	req.Header.Set("X-Attempt-Id", "a"+strconv.FormatInt(attempts.Add(1), 10))
+	id := "a" + strconv.FormatInt(attempts.Add(1), 10)
+	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", "3000")
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
@@ -181,7 +183,7 @@
 	if err != nil {
 		return result{}
 	}
-	return result{resp.StatusCode, string(body), resp.Header}
+	return result{resp.StatusCode, string(body), resp.Header, id}
 }
 
 // waitUntil repeats a check until it returns "", for up to waitLimit.
@@ -349,6 +351,67 @@
 	assert.Assert(t, len(good.requests()) >= 10)
 }
 
+// Guards against a caller that gets the answer to an earlier request, because the backend
+// server sent a second copy of it on the connection that carries the next request.
+func TestSecondCopyOfAnswer(t *testing.T) {
+	answer := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+	}
+	for name, script := range map[string]func(conn net.Conn, next func() string){
+		"with the answer": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first)+answer(first))
+			_, _ = io.WriteString(conn, answer(next()))
+		},
+		"between two requests": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, answer(first))
+			_, _ = io.WriteString(conn, answer(next()))
+		},
+		"after the next request": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first))
+			second := next()
+			_, _ = io.WriteString(conn, answer(first)+answer(second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			shop := f.host("shop-1", "shop")
+			f.configure(4, farm)
+			shop.awaitServing("read.example")
+			shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
+				conn, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				request := r
+				script(conn, func() string {
+					if request == nil {
+						request, err = http.ReadRequest(buffered.Reader)
+					}
+					if err != nil {
+						return "none"
+					}
+					id := request.Header.Get("X-Attempt-Id")
+					request = nil
+					return id
+				})
+			})
+			for range 4 {
+				got := shop.call("GET", "read.example", "k1")
+				if got.status == http.StatusOK {
+					assert.Equal(t, got.body, got.id)
+				}
+				time.Sleep(40 * time.Millisecond) // a late copy arrives while the connection is idle
+			}
+		})
+	}
+}
+
 // sendWithoutEnd returns a handler that sends start, then repeats more until the node
 // closes the connection. It pauses between repetitions.
 func sendWithoutEnd(start, more string, pause time.Duration) http.HandlerFunc {
