--- a/internal/loadtest/server.go
+++ b/internal/loadtest/server.go
@@ -33,8 +33,8 @@
 	return x
 }
 
-// Float64 returns a random number in [0, 1).
-func (s *server) float64() float64 {
+// draw returns a random number in [0, 1).
+func (s *server) draw() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.random.Float64()
@@ -42,7 +42,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.float64() < s.refusals.Load() {
+	if s.draw() < s.refusals.Load() {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -58,7 +58,7 @@
 // run works on a request of route and makes its calls. It reports whether all of them
 // succeeded before ctx ended.
 func (s *server) run(ctx context.Context, route *Route) bool {
-	work := time.Duration(float64(route.Work) * (0.5 + s.float64()) * max(s.slowdown.Load(), 1))
+	work := time.Duration(float64(route.Work) * (0.5 + s.draw()) * max(s.slowdown.Load(), 1))
 	select {
 	case <-time.After(work):
 	case <-ctx.Done():
