--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -128,6 +128,7 @@
 	httpServer := &http.Server{Handler: h}
 	listener := f.network.listen(address)
 	done := make(chan struct{}, 2)
+	// Both end with an error when the fleet is closed.
 	go func() { _ = n.Run(ctx); done <- struct{}{} }()
 	go func() { _ = httpServer.Serve(listener); done <- struct{}{} }()
 	h.stop = func() {
--- /dev/null
+++ b/internal/sidecar/answers_test.go
@@ -0,0 +1,184 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against responses that are corrupt, lost or belong to another request and
+// that reach a caller as success, and against a request that runs twice.
+func TestBadAnswers(t *testing.T) {
+	hijack := func(w http.ResponseWriter, text string) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, text)
+			_ = conn.Close()
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		handler http.HandlerFunc
+		status  int  // of a non-idempotent request
+		once    bool // the request must be delivered exactly once
+	}{
+		{"success without seal", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }, 502, true},
+		{"of another request", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Attempt-Id", "zzz")
+			w.Header().Set("X-Server-Seal", "seal")
+			w.WriteHeader(200)
+		}, 502, true},
+		{"cut off", func(w http.ResponseWriter, r *http.Request) {
+			hijack(w, "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\nContent-Length: 100\r\n\r\nshort")
+		}, 502, true},
+		{"no HTTP", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "nonsense\r\n\r\n") }, 502, true},
+		{"none", func(w http.ResponseWriter, _ *http.Request) { hijack(w, "") }, 502, true},
+		{"shed", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(503)
+		}, 503, false},
+		{"another server", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 503, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t)
+			shop := f.host("shop-1", "shop")
+			f.configure(4, farm)
+			shop.awaitServing("read.example")
+			shop.setResponse(tc.handler)
+			before := len(shop.requests())
+			a := shop.call("POST", "order.example", "k1")
+			assert.Equal(t, a.status, tc.status)
+			assert.Equal(t, a.header.Get("X-Server-Seal"), "")
+			if tc.once {
+				assert.Equal(t, len(shop.requests())-before, 1)
+			}
+		})
+	}
+}
+
+// Guards against a caller that gets the answer to an earlier request, because the backend
+// server sent a second copy of it on the connection that carries the next request.
+func TestSecondCopyOfAnswer(t *testing.T) {
+	answer := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+	}
+	for name, script := range map[string]func(conn net.Conn, next func() string){
+		"with the answer": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first)+answer(first))
+			_, _ = io.WriteString(conn, answer(next()))
+		},
+		"between two requests": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, answer(first))
+			_, _ = io.WriteString(conn, answer(next()))
+		},
+		"after the next request": func(conn net.Conn, next func() string) {
+			first := next()
+			_, _ = io.WriteString(conn, answer(first))
+			second := next()
+			_, _ = io.WriteString(conn, answer(first)+answer(second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			shop := f.host("shop-1", "shop")
+			f.configure(4, farm)
+			shop.awaitServing("read.example")
+			shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
+				conn, buffered, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				request := r
+				script(conn, func() string {
+					if request == nil {
+						request, err = http.ReadRequest(buffered.Reader)
+					}
+					if err != nil {
+						return "none"
+					}
+					id := request.Header.Get("X-Attempt-Id")
+					request = nil
+					return id
+				})
+			})
+			for range 4 {
+				got := shop.call("GET", "read.example", "k1")
+				if got.status == http.StatusOK {
+					assert.Equal(t, got.body, got.id)
+				}
+				time.Sleep(40 * time.Millisecond) // a late copy arrives while the connection is idle
+			}
+		})
+	}
+}
+
+// sendWithoutEnd returns a handler that sends start, then repeats more until the node
+// closes the connection. It pauses between repetitions.
+func sendWithoutEnd(start, more string, pause time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, start)
+		for err == nil {
+			time.Sleep(pause)
+			_, err = io.WriteString(conn, more)
+		}
+	}
+}
+
+// Guards against answers without end that hold a request until its deadline, or for which
+// memory grows, although the request could run elsewhere.
+func TestAnswersWithoutEnd(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+	for name, response := range map[string]http.HandlerFunc{
+		"status line":                 sendWithoutEnd("HTTP/1.1 200 ", strings.Repeat("x", 1<<10), 0),
+		"headers":                     sendWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: "+strings.Repeat("x", 1<<10)+"\r\n", 0),
+		"one header":                  sendWithoutEnd("HTTP/1.1 200 OK\r\nX-More: ", strings.Repeat("x", 1<<10), 0),
+		"interim answers":             sendWithoutEnd("", "HTTP/1.1 102 Processing\r\n\r\n", 0),
+		"no HTTP":                     sendWithoutEnd("", strings.Repeat("x", 1<<10)+"\n", 0),
+		"chunk size":                  sendWithoutEnd("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 1<<10), 0),
+		"chunk extension":             sendWithoutEnd("HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 1<<10), 0),
+		"refusal, chunked, slowly":    sendWithoutEnd(refusal+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", pause),
+		"refusal, no length, slowly":  sendWithoutEnd(refusal+"\r\n", "x", pause),
+		"refusal, long body, slowly":  sendWithoutEnd(refusal+"Content-Length: 4000\r\n\r\n", "x", pause),
+		"refusal, no length, at once": sendWithoutEnd(refusal+"\r\n", strings.Repeat("x", 1<<10), 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			bad, _, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+			f.configure(4, farm)
+			entry.awaitServing("read.example")
+			bad.setResponse(response)
+			before := len(bad.requests())
+			for round := 0; round < 20 && len(bad.requests()) == before; round++ {
+				var wg sync.WaitGroup
+				answers := make([]result, 3) // at once, so that they do not all go to the same server
+				for i := range answers {
+					wg.Go(func() { answers[i] = entry.call("GET", "read.example", "k1") })
+				}
+				wg.Wait()
+				for _, answer := range answers {
+					assert.Equal(t, answer.status, http.StatusOK, answer.body)
+					assert.Equal(t, answer.body, "shop-2GET/x")
+				}
+			}
+			assert.Assert(t, len(bad.requests()) > before, "no request reached the faulty server")
+		})
+	}
+}
