--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -64,7 +64,6 @@
 	hosts    []*server
 	client   *http.Client
 	random   *rand.Rand // used only by the goroutine that plays loads
-	nextID   int
 }
 
 // New starts a fleet. The seed determines the times of arrivals and of work. It ends at
