sidecar: make the choice of the faulty server certain in TestAnswersWithoutEnd

The other server is slow now, so the faulty one is chosen by its latency, one call at a time; the checks stay.

--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -144,7 +144,10 @@
 // Guards against answers without end that hold a request until its deadline, or for which
 // memory grows, although the request could run elsewhere.
 func TestAnswersWithoutEnd(t *testing.T) {
-	const pause = 20 * time.Millisecond
+	const (
+		pause = 20 * time.Millisecond
+		slow  = 50 * time.Millisecond
+	)
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
 	for name, response := range map[string]http.HandlerFunc{
 		"status line":                 sendWithoutEnd("HTTP/1.1 200 ", strings.Repeat("x", 1<<10), 0),
@@ -161,24 +164,37 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
-			bad, _, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+			bad, good, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
 			f.configure(4, farm)
 			entry.awaitServing("read.example")
-			bad.setResponse(response)
-			before := len(bad.requests())
-			for round := 0; round < 20 && len(bad.requests()) == before; round++ {
+			// The other server is slow, so that the faulty one is chosen first.
+			good.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(slow)
+				w.Header().Set("X-Server-Seal", "seal")
+				_, _ = io.WriteString(w, "shop-2")
+			})
+			waitUntil(t, func() string {
 				var wg sync.WaitGroup
-				answers := make([]result, 3) // at once, so that they do not all go to the same server
-				for i := range answers {
-					wg.Go(func() { answers[i] = entry.call("GET", "read.example", "k1") })
+				for range 3 { // at once, so that they do not all go to the same server
+					wg.Go(func() { entry.call("GET", "read.example", "k1") })
 				}
 				wg.Wait()
-				for _, answer := range answers {
-					assert.Equal(t, answer.status, http.StatusOK, answer.body)
-					assert.Equal(t, answer.body, "shop-2GET/x")
+				if len(good.requests()) == 0 || len(bad.requests()) == 0 {
+					return "one server has had no request"
 				}
-			}
-			assert.Assert(t, len(bad.requests()) > before, "no request reached the faulty server")
+				return ""
+			})
+			bad.setResponse(response)
+			before := len(bad.requests())
+			waitUntil(t, func() string {
+				answer := entry.call("GET", "read.example", "k1")
+				assert.Equal(t, answer.status, http.StatusOK, answer.body)
+				assert.Equal(t, answer.body, "shop-2")
+				if len(bad.requests()) == before {
+					return "no request reached the faulty server"
+				}
+				return ""
+			})
 		})
 	}
 }
