node: throttled callers return as late as their objective allows

The loss lies after the restart of all nodes, while the backend servers are cold: callers told a quarter of their objective came back within the cold start and were refused again (1,034 to 1,628). Change: Retry-After is the objective less the timeout, at least a quarter of the objective, at most 1 s. Test: TestThrottledRetryAfter; TestThrottledCallersReturnInTime holds.

--- a/node/admitratio.go
+++ b/node/admitratio.go
@@ -26,11 +26,11 @@
 	// averageTimeConstant is the time constant of both averages, so that nodes with
 	// few requests follow as fast as others.
 	averageTimeConstant = 200 * time.Millisecond
-	// throttledRetryFraction is the Retry-After of requests that are refused because of
-	// an admit ratio, as a fraction of the latency objective: a caller that comes back
-	// can still be answered within the objective. It is at most maxThrottledRetryAfter.
-	throttledRetryFraction = 1.0 / 4
-	maxThrottledRetryAfter = time.Second
+	// minThrottledRetryFraction is the least Retry-After of requests that are refused
+	// because of an admit ratio, as a fraction of the latency objective, and
+	// maxThrottledRetryAfter the greatest one.
+	minThrottledRetryFraction = 1.0 / 4
+	maxThrottledRetryAfter    = time.Second
 	// onwardRefusalWindow is how long refused onward calls explain a failed request,
 	// and onwardRefusalCount how many there must have been in that time.
 	onwardRefusalWindow = 500 * time.Millisecond
@@ -99,13 +99,16 @@
 
 var errOnwardOverload = refusal.New(refusal.Overload, "a service further down is overloaded").WithRetryAfter(maxThrottledRetryAfter)
 
-// throttled returns the refusal of a call because of its admit ratio.
+// throttled returns the refusal of a call because of its admit ratio. The later callers
+// return, the more capacity may have come back. But an answer must still be possible
+// within the latency objective, and it may take up to the timeout.
 func (c *call) throttled() *refusal.Refusal {
 	objective := c.route.Objective.Latency
 	if objective <= 0 {
 		return errOnwardOverload
 	}
-	wait := time.Duration(throttledRetryFraction * float64(objective))
+	least := time.Duration(minThrottledRetryFraction * float64(objective))
+	wait := max(objective-c.route.Timeout, least)
 	return errOnwardOverload.WithRetryAfter(min(wait, maxThrottledRetryAfter))
 }
 
--- a/node/admitratio_test.go
+++ b/node/admitratio_test.go
@@ -31,6 +31,21 @@
 	assert.Assert(t, admitted > 950, "%d of 1000 requests are admitted", admitted)
 }
 
+// Guards against throttled callers that return so late that their answer misses the
+// latency objective, or so early that no capacity can have come back.
+func TestThrottledRetryAfter(t *testing.T) {
+	for _, tc := range []struct{ objective, timeout, want time.Duration }{
+		{0, time.Second, maxThrottledRetryAfter},
+		{1500 * time.Millisecond, 800 * time.Millisecond, 700 * time.Millisecond},
+		{2 * time.Second, 2 * time.Second, 500 * time.Millisecond},
+		{400 * time.Millisecond, 800 * time.Millisecond, 100 * time.Millisecond},
+		{10 * time.Second, time.Second, maxThrottledRetryAfter},
+	} {
+		c := &call{route: &config.Route{Timeout: tc.timeout, Objective: config.Objective{Latency: tc.objective}}}
+		assert.Equal(t, c.throttled().RetryAfter, tc.want, "objective %s, timeout %s", tc.objective, tc.timeout)
+	}
+}
+
 // Guards against an admit ratio that follows each single response while the
 // destinations differ.
 func TestAdmitRatioAveragesDestinations(t *testing.T) {
