pipeline: count callers' connections and log errors of Accept

The hypotheses could not be told apart: the only line about Accept was net/http's own text, which is the same for an error that passes and for one that stays, and no metric counted the connections that are open or were accepted. No change of behaviour.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -49,30 +50,62 @@
 	err       error // returned by Accept after done is closed
 
 	acceptStopped atomic.Bool // StopAccepting has closed the wrapped listener
+	stats         counters
+	onAcceptError func(error) // nil: none
 }
 
+// Stats counts what happened to the connections of clients.
+type Stats struct {
+	Open         int64 // connections that are open
+	Accepted     int64 // connections accepted since the start
+	AcceptErrors int64 // failed calls of Accept since the start
+}
+
+type counters struct{ open, accepted, acceptErrors atomic.Int64 }
+
 // NewListener returns a Listener that accepts connections from l in the background
-// until StopAccepting or Close is called.
-func NewListener(l net.Listener) *Listener {
-	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{})}
+// until StopAccepting or Close is called. onAcceptError is called with each error of
+// l.Accept before that; it may be nil.
+func NewListener(l net.Listener, onAcceptError func(error)) *Listener {
+	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), onAcceptError: onAcceptError}
 	go p.acceptLoop()
 	return p
 }
 
+// Stats returns the present counts. It is safe for concurrent use.
+func (l *Listener) Stats() Stats {
+	s := &l.stats
+	return Stats{Open: s.open.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load()}
+}
+
 func (l *Listener) acceptLoop() {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			if !l.acceptStopped.Load() {
+				l.noteAcceptError(err)
 				l.closeWithError(err)
 			}
 			return
 		}
+		l.stats.accepted.Add(1)
+		l.stats.open.Add(1)
 		c := &clientConn{conn: conn, listener: l}
 		go c.readRequests()
 	}
 }
 
+// noteAcceptError counts and reports an error of Accept unless the listener was closed.
+func (l *Listener) noteAcceptError(err error) {
+	if errors.Is(err, net.ErrClosed) {
+		return
+	}
+	l.stats.acceptErrors.Add(1)
+	if l.onAcceptError != nil {
+		l.onAcceptError(err)
+	}
+}
+
 func (l *Listener) closeWithError(err error) {
 	l.closeOnce.Do(func() {
 		l.mu.Lock()
@@ -135,6 +168,7 @@
 	openStreams int       // streams that are not closed
 	exclusive   *stream   // the stream that gets all further bytes, or nil
 	ended       bool      // nothing more is written
+	closeOnce   sync.Once // guards the close of conn
 	changed     sync.Cond // signalled when outstanding is shortened or ended is set
 }
 
@@ -149,6 +183,14 @@
 	closed   bool
 }
 
+// close closes the connection.
+func (c *clientConn) close() {
+	c.closeOnce.Do(func() {
+		_ = c.conn.Close() // the client may have closed it already
+		c.listener.stats.open.Add(-1)
+	})
+}
+
 // readRequests splits the bytes of the client into requests and dispatches them
 // until the connection ends.
 func (c *clientConn) readRequests() {
@@ -266,7 +308,7 @@
 		_ = s.requests.Close() // the server reads io.EOF
 	}
 	if open == 0 {
-		_ = c.conn.Close()
+		c.close()
 	}
 }
 
@@ -383,7 +425,7 @@
 		_ = t.CloseWrite() // the client may have closed it already
 	}
 	// readRequests reads on until the client closes too or lingerTimeout has passed.
-	time.AfterFunc(lingerTimeout, func() { _ = c.conn.Close() })
+	time.AfterFunc(lingerTimeout, c.close)
 	for _, s := range c.outstanding {
 		_ = s.requests.Close()
 	}
@@ -393,7 +435,7 @@
 func (c *clientConn) abortLocked() {
 	c.ended = true
 	c.changed.Broadcast()
-	_ = c.conn.Close()
+	c.close()
 }
 
 // SetWriteDeadline implements net.Conn. It has an effect only on the first
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -22,7 +22,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := &http.Server{Handler: h, ConnState: ConnState, IdleTimeout: idle}
-	go func() { _ = srv.Serve(NewListener(l)) }()
+	go func() { _ = srv.Serve(NewListener(l, nil)) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return l.Addr().String()
 }
@@ -164,7 +164,7 @@
 func TestStopAcceptingKeepsOpenConnections(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := NewListener(l)
+	p := NewListener(l, nil)
 	arrived, release := make(chan struct{}), make(chan struct{})
 	srv := &http.Server{ConnState: ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/0" {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/dotterelseam/dotterelseam/internal/pipeline"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
@@ -39,6 +40,13 @@
 	return m
 }
 
+// registerConnections adds the metrics of the callers' connections.
+func (m *nodeMetrics) registerConnections(stats func() pipeline.Stats) {
+	metrics.NewRegisteredFunctionalGauge("caller_connections", m.registry, func() int64 { return stats().Open })
+	metrics.NewRegisteredFunctionalGauge("caller_connections_accepted", m.registry, func() int64 { return stats().Accepted })
+	metrics.NewRegisteredFunctionalGauge("caller_accept_errors", m.registry, func() int64 { return stats().AcceptErrors })
+}
+
 // histogramSamples is the number of values that a histogram keeps.
 const histogramSamples = 256
 
