pipeline: accept connections again after an error of Accept

What callers saw: a node that said ready took no new connection any more (RECOVER), until its process was restarted. Cause: the accept loop of the callers listener ended at the first error of Accept, such as "too many open files", and gave that error back at every later call. net/http takes it as temporary and calls again for ever; a first request on a connection that was accepted before was read and never answered. The ready listener has no such loop and went on with 200. Change: only a closed listener ends the loop; other errors are counted, logged and tried again after 5 to 100 ms. A node whose Accept fails is not ready.

--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -5,6 +5,17 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
+)
+
+// Delays between failed calls of Accept. The longest one is well below the time that
+// clients wait for a connection.
+const (
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 100 * time.Millisecond
+	// acceptErrorAge is the age of an error of Accept from which on it counts as past. As
+	// long as Accept fails, errors follow each other within maxAcceptDelay.
+	acceptErrorAge = 3 * maxAcceptDelay
 )
 
 // Listener splits the connections of the wrapped listener into streams. Its methods
@@ -19,7 +30,9 @@
 
 	acceptStopped atomic.Bool // StopAccepting has closed the wrapped listener
 	stats         counters
-	onAcceptError func(error) // nil: none
+	epoch         time.Time
+	lastError     atomic.Int64 // time of the last error of Accept, ns since epoch; 0: none
+	onAcceptError func(error)  // nil: none
 }
 
 // Stats counts what happened to the connections of clients.
@@ -35,39 +48,75 @@
 // until StopAccepting or Close is called. onAcceptError is called with each error of
 // l.Accept before that; it may be nil.
 func NewListener(l net.Listener, onAcceptError func(error)) *Listener {
-	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), onAcceptError: onAcceptError}
+	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), epoch: time.Now(), onAcceptError: onAcceptError}
 	go p.acceptLoop()
 	return p
 }
 
+// Accepting reports whether clients can open connections: the listener is open, and
+// Accept does not fail.
+func (l *Listener) Accepting() bool {
+	if l.acceptStopped.Load() {
+		return false
+	}
+	last := l.lastError.Load()
+	return last == 0 || time.Since(l.epoch)-time.Duration(last) > acceptErrorAge
+}
+
 // Stats returns the present counts. It is safe for concurrent use.
 func (l *Listener) Stats() Stats {
 	s := &l.stats
 	return Stats{Open: s.open.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load()}
 }
 
+// acceptLoop accepts connections until the wrapped listener is closed. Any other error,
+// such as a lack of descriptors, concerns one connection or passes, so it tries again.
 func (l *Listener) acceptLoop() {
+	delay := minAcceptDelay
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil {
-			if !l.acceptStopped.Load() {
-				l.noteAcceptError(err)
-				l.closeWithError(err)
-			}
+		switch {
+		case err == nil:
+			delay = minAcceptDelay
+			l.serve(conn)
+			continue
+		case l.acceptStopped.Load():
+			return
+		case errors.Is(err, net.ErrClosed):
+			l.closeWithError(err)
+			return
+		}
+		l.noteAcceptError(err)
+		if !l.pause(delay) {
 			return
 		}
-		l.stats.accepted.Add(1)
-		l.stats.open.Add(1)
-		c := &clientConn{conn: conn, listener: l}
-		go c.readRequests()
+		delay = min(2*delay, maxAcceptDelay)
 	}
 }
 
-// noteAcceptError counts and reports an error of Accept unless the listener was closed.
-func (l *Listener) noteAcceptError(err error) {
-	if errors.Is(err, net.ErrClosed) {
-		return
+// pause waits for d and reports whether the listener is still open.
+func (l *Listener) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.done:
+		return false
 	}
+}
+
+// serve starts to read requests from an accepted connection.
+func (l *Listener) serve(conn net.Conn) {
+	l.stats.accepted.Add(1)
+	l.stats.open.Add(1)
+	c := &clientConn{conn: conn, listener: l}
+	go c.readRequests()
+}
+
+// noteAcceptError counts and reports an error of Accept.
+func (l *Listener) noteAcceptError(err error) {
+	l.lastError.Store(int64(time.Since(l.epoch)))
 	l.stats.acceptErrors.Add(1)
 	if l.onAcceptError != nil {
 		l.onAcceptError(err)
--- a/node/operators.go
+++ b/node/operators.go
@@ -32,7 +32,7 @@
 func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	code := http.StatusOK
 	state := n.state()
-	if state != status.Serving {
+	if !n.Serving() {
 		code = http.StatusServiceUnavailable
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -40,8 +40,8 @@
 	_ = json.NewEncoder(w).Encode(map[string]status.State{"state": state}) // a write error means that the client has disconnected
 }
 
-// Serving reports whether the node takes new requests.
-func (n *Node) Serving() bool { return n.state() == status.Serving }
+// Serving reports whether the node takes new requests and connections.
+func (n *Node) Serving() bool { return n.state() == status.Serving && n.callers.Accepting() }
 
 func (n *Node) state() status.State {
 	switch {
