pipeline, sidecar: bound callers' connections and close quiet ones for new ones

What callers saw: after a storm of new connections a node stayed without descriptors for twenty seconds and more; new connections waited in the socket's queue until callers gave up, and a caller's request was noticed long after it had left. Cause: nothing bounded callers' connections. Change: a listener keeps at most MaxConnections open. For a new one beyond that it closes the one that has had no request for the longest time; connections with a request are never closed. The sidecar derives the limit from its descriptors (new setting open_files, by default the limit of the process) and its memory, and the limit of requests in flight from it, so that there is always a connection without a request. An error of Accept closes some quiet ones too.

--- a/internal/pipeline/accept_test.go
+++ b/internal/pipeline/accept_test.go
@@ -1,10 +1,12 @@
 package pipeline
 
 import (
+	"io"
 	"math"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -44,7 +46,7 @@
 			failing := &failingListener{Listener: l, err: acceptError(errno)}
 			failing.failures.Store(3)
 			srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: ConnState}
-			go func() { _ = srv.Serve(NewListener(failing, nil)) }()
+			go func() { _ = srv.Serve(NewListener(failing, testMaxConns, nil)) }()
 			t.Cleanup(func() { _ = srv.Close() })
 			client := &http.Client{Timeout: acceptTestTimeout}
 			resp, err := client.Get("http://" + l.Addr().String() + "/")
@@ -62,7 +64,7 @@
 	failing.failures.Store(math.MaxInt64)
 	failed := make(chan struct{})
 	var once sync.Once
-	p := NewListener(failing, func(error) { once.Do(func() { close(failed) }) })
+	p := NewListener(failing, testMaxConns, func(error) { once.Do(func() { close(failed) }) })
 	t.Cleanup(func() { _ = p.Close() })
 	<-failed
 	assert.Assert(t, !p.Accepting())
@@ -71,3 +73,43 @@
 		time.Sleep(acceptErrorAge / 4)
 	}
 }
+
+// Guards against connections without a request that leave no room for new ones.
+func TestNewConnectionsDisplaceQuietOnes(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan string, 2)
+	l := serveListener(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/wait") {
+			arrived <- r.URL.Path
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, 0)
+	address := l.Addr().String()
+	waiting, waitingAnswer := dial(t, address)
+	_, err := io.WriteString(waiting, getRequest("/wait"))
+	assert.NilError(t, err)
+	<-arrived
+	// Its second request is on the stream that gets all bytes.
+	posting, postingAnswer := dial(t, address)
+	post := func(path string) {
+		_, err := io.WriteString(posting, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		assert.NilError(t, err)
+	}
+	post("/first")
+	assert.Equal(t, readBody(t, postingAnswer), "/first")
+	post("/wait-too")
+	<-arrived
+	for i := range 3 * testMaxConns {
+		conn, r := dial(t, address)
+		if i%2 == 0 { // the others never send a request
+			_, err := io.WriteString(conn, getRequest("/"))
+			assert.NilError(t, err)
+			assert.Equal(t, readBody(t, r), "/")
+		}
+		assert.Assert(t, l.Stats().Open <= testMaxConns+1) // the newest may not have displaced another yet
+	}
+	close(release)
+	assert.Equal(t, readBody(t, waitingAnswer), "/wait")
+	assert.Equal(t, readBody(t, postingAnswer), "/wait-too")
+}
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -16,6 +16,9 @@
 	// acceptErrorAge is the age of an error of Accept from which on it counts as past. As
 	// long as Accept fails, errors follow each other within maxAcceptDelay.
 	acceptErrorAge = 3 * maxAcceptDelay
+	// acceptErrorCloseFraction is the inverse of the fraction of the connections that is
+	// closed at an error of Accept, because descriptors or buffers may have run out.
+	acceptErrorCloseFraction = 32
 )
 
 // Listener splits the connections of the wrapped listener into streams. Its methods
@@ -29,6 +32,8 @@
 	err       error // returned by Accept after done is closed
 
 	acceptStopped atomic.Bool // StopAccepting has closed the wrapped listener
+	maxConns      int64
+	quiet         quietConns
 	stats         counters
 	epoch         time.Time
 	lastError     atomic.Int64 // time of the last error of Accept, ns since epoch; 0: none
@@ -38,6 +43,8 @@
 // Stats counts what happened to the connections of clients.
 type Stats struct {
 	Open         int64 // connections that are open
+	Quiet        int64 // open connections without a request
+	Displaced    int64 // connections closed in favour of new ones since the start
 	Accepted     int64 // connections accepted since the start
 	AcceptErrors int64 // failed calls of Accept since the start
 }
@@ -45,10 +52,11 @@
 type counters struct{ open, accepted, acceptErrors atomic.Int64 }
 
 // NewListener returns a Listener that accepts connections from l in the background
-// until StopAccepting or Close is called. onAcceptError is called with each error of
-// l.Accept before that; it may be nil.
-func NewListener(l net.Listener, onAcceptError func(error)) *Listener {
-	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), epoch: time.Now(), onAcceptError: onAcceptError}
+// until StopAccepting or Close is called. It keeps at most maxConns connections open; for
+// a new one beyond that, it closes the one that has had no request for the longest time.
+// onAcceptError is called with each error of l.Accept before that; it may be nil.
+func NewListener(l net.Listener, maxConns int, onAcceptError func(error)) *Listener {
+	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), epoch: time.Now(), maxConns: int64(maxConns), onAcceptError: onAcceptError}
 	go p.acceptLoop()
 	return p
 }
@@ -66,14 +74,14 @@
 // Stats returns the present counts. It is safe for concurrent use.
 func (l *Listener) Stats() Stats {
 	s := &l.stats
-	return Stats{Open: s.open.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load()}
+	return Stats{Open: s.open.Load(), Quiet: l.quiet.len(), Displaced: l.quiet.displaced.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load()}
 }
 
 // acceptLoop accepts connections until the wrapped listener is closed. Any other error,
 // such as a lack of descriptors, concerns one connection or passes, so it tries again.
 func (l *Listener) acceptLoop() {
 	delay := minAcceptDelay
-	for {
+	for l.makeRoom() {
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil:
@@ -87,6 +95,7 @@
 			return
 		}
 		l.noteAcceptError(err)
+		l.quiet.closeOldest(1 + int(l.stats.open.Load()/acceptErrorCloseFraction))
 		if !l.pause(delay) {
 			return
 		}
@@ -94,6 +103,17 @@
 	}
 }
 
+// makeRoom closes connections without a request until no more than maxConns are open. It
+// waits while all of them have requests, and returns false if the listener was closed.
+func (l *Listener) makeRoom() bool {
+	for l.stats.open.Load() > l.maxConns {
+		if l.quiet.closeOldest(1) == 0 && !l.pause(minAcceptDelay) {
+			return false
+		}
+	}
+	return true
+}
+
 // pause waits for d and reports whether the listener is still open.
 func (l *Listener) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -111,6 +131,7 @@
 	l.stats.accepted.Add(1)
 	l.stats.open.Add(1)
 	c := &clientConn{conn: conn, listener: l}
+	l.quiet.add(c)
 	go c.readRequests()
 }
 
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"io"
 	"net"
 	"net/http"
@@ -37,15 +38,18 @@
 	readBufferSize = 4 << 10 // bytes
 )
 
-// ConnState tells the listener that the server has completed an answer. It must be
-// called from the ConnState hook of the server; connections that no Listener
-// returned are ignored.
+// ConnState tells the listener that the server has begun a request or completed an
+// answer. It must be called from the ConnState hook of the server; connections that no
+// Listener returned are ignored.
 func ConnState(c net.Conn, state http.ConnState) {
 	s, ok := c.(*stream)
 	if !ok {
 		return
 	}
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		s.client.markBusy(s)
+	case http.StateIdle:
 		s.client.answerComplete(s)
 	}
 }
@@ -60,9 +64,12 @@
 	idle        []*stream // streams without a request
 	openStreams int       // streams that are not closed
 	exclusive   *stream   // the stream that gets all further bytes, or nil
+	busy        bool      // exclusive has an unanswered request
 	ended       bool      // nothing more is written
 	closeOnce   sync.Once // guards the close of conn
-	changed     sync.Cond // signalled when outstanding is shortened or ended is set
+
+	quietElement *list.Element // in listener.quiet, or nil; guarded by quietConns.mu
+	changed      sync.Cond     // signalled when outstanding is shortened or ended is set
 }
 
 // stream is one of the connections that the server accepts. The fields besides the
@@ -81,9 +88,22 @@
 	c.closeOnce.Do(func() {
 		_ = c.conn.Close() // the client may have closed it already
 		c.listener.stats.open.Add(-1)
+		c.listener.quiet.remove(c)
 	})
 }
 
+// closeIfQuiet closes the connection if it has no unanswered request, and reports whether
+// it did. readRequests then ends its streams.
+func (c *clientConn) closeIfQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.outstanding) > 0 || c.busy || c.ended {
+		return false
+	}
+	c.abortLocked()
+	return true
+}
+
 // readRequests splits the bytes of the client into requests and dispatches them
 // until the connection ends.
 func (c *clientConn) readRequests() {
@@ -97,7 +117,7 @@
 			return
 		}
 		if err == nil && exclusive {
-			_, err = io.Copy(c.exclusive.requests, r)
+			_, err = io.Copy(exclusiveWriter{c.exclusive}, r)
 			if err != nil {
 				_, _ = io.Copy(io.Discard, r) // the server has closed the stream
 			}
@@ -109,6 +129,14 @@
 	}
 }
 
+// exclusiveWriter passes bytes of the client on to its exclusive stream.
+type exclusiveWriter struct{ stream *stream }
+
+func (w exclusiveWriter) Write(p []byte) (int, error) {
+	w.stream.client.markBusy(w.stream)
+	return w.stream.requests.Write(p)
+}
+
 // readHeader reads the header of one request, with the request line. exclusive
 // reports that this request and the bytes after it must go to one stream unchanged.
 func readHeader(r *bufio.Reader) (header []byte, exclusive bool, err error) {
@@ -174,6 +202,7 @@
 		c.openStreams++
 	}
 	c.outstanding = append(c.outstanding, s)
+	c.listener.quiet.remove(c)
 	if exclusive {
 		c.exclusive = s
 	}
@@ -205,16 +234,34 @@
 	}
 }
 
+// markBusy records that s has received a part of a request. Only the exclusive stream
+// needs it: the requests of other streams are outstanding.
+func (c *clientConn) markBusy(s *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exclusive == s && !c.busy {
+		c.busy = true
+		c.listener.quiet.remove(c)
+	}
+}
+
 // answerComplete records that the server has completed the answer on s.
 func (c *clientConn) answerComplete(s *stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !s.isFirstLocked() {
+	if c.exclusive == s {
+		c.busy = false
+	}
+	switch {
+	case s.isFirstLocked():
+		c.idle = append(c.idle, s)
+		c.advanceLocked()
+	default:
 		s.complete = true
-		return
 	}
-	c.idle = append(c.idle, s)
-	c.advanceLocked()
+	if len(c.outstanding) == 0 && !c.busy && !c.ended {
+		c.listener.quiet.add(c)
+	}
 }
 
 // advanceLocked removes the first outstanding stream and writes the buffered answers
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -15,16 +15,25 @@
 	"gotest.tools/v3/assert"
 )
 
+const testMaxConns = 64
+
 // serve runs a server behind a Listener until the end of the test and returns its
 // address.
 func serve(t *testing.T, h http.HandlerFunc, idle time.Duration) string {
+	t.Helper()
+	return serveListener(t, h, idle).Addr().String()
+}
+
+// serveListener does the same and returns the Listener.
+func serveListener(t *testing.T, h http.HandlerFunc, idle time.Duration) *Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	p := NewListener(l, testMaxConns, nil)
 	srv := &http.Server{Handler: h, ConnState: ConnState, IdleTimeout: idle}
-	go func() { _ = srv.Serve(NewListener(l, nil)) }()
+	go func() { _ = srv.Serve(p) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return l.Addr().String()
+	return p
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
@@ -164,7 +173,7 @@
 func TestStopAcceptingKeepsOpenConnections(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := NewListener(l, nil)
+	p := NewListener(l, testMaxConns, nil)
 	arrived, release := make(chan struct{}), make(chan struct{})
 	srv := &http.Server{ConnState: ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/0" {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -147,7 +147,9 @@
 
 func (d *Sidecar) nodeConfig(bounds platform.Bounds) node.Config {
 	s := &d.settings
+	connections, requests := callerLimits(s.OpenFiles, s.MemoryLimit)
 	return node.Config{
+		MaxConnections: connections, MaxRequests: requests,
 		ID: s.Name, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Region: s.Region,
 		PeerAddress: s.Addresses.Advertised(), SourceIP: s.Addresses.Source(), Service: s.Service, Protocol: platform.Protocol{},
 		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
--- a/node/config.go
+++ b/node/config.go
@@ -37,6 +37,9 @@
 	// DefaultMaxRequests is several times the number of connections of one backend
 	// server. Each request uses at most about 100 KB, so it also bounds memory.
 	DefaultMaxRequests = 2048
+	// connectionsPerRequest is the default of MaxConnections, per request of MaxRequests.
+	// Above 1 there is always a connection without a request that can be closed.
+	connectionsPerRequest = 2
 )
 
 // Config holds the identity, the listeners and the components of a node. Fields
@@ -82,15 +85,19 @@
 	OperatorsFallback http.Handler // handles other paths of Operators; nil: none
 	// ExtendStatus adds to the node's status what the node itself does not know; nil:
 	// nothing. It must be safe for concurrent use.
-	ExtendStatus      func(*status.Node)
-	Metrics           metrics.Registry // served at GET /v1/metrics; default: a new registry
-	Log               logr.Logger      // default: discards all lines
-	Clock             func() time.Time // must be safe for concurrent use; default time.Now
-	MaxRequests       int              // limit of callers' requests in flight at this node; default 2,048
-	MaxHeaderBytes    int              // of a caller's request, bytes; default 32 KiB
-	ReadHeaderTimeout time.Duration    // time to send the headers; default 5 s
-	IdleTimeout       time.Duration    // of a caller's connection between requests; default 60 s
-	BodyIdleTimeout   time.Duration    // longest pause of a sender within a body; default 10 s
+	ExtendStatus func(*status.Node)
+	Metrics      metrics.Registry // served at GET /v1/metrics; default: a new registry
+	Log          logr.Logger      // default: discards all lines
+	Clock        func() time.Time // must be safe for concurrent use; default time.Now
+	MaxRequests  int              // limit of callers' requests in flight at this node; default 2,048
+	// MaxConnections is the limit of callers' connections. For a new one beyond it, the one
+	// without a request for the longest time is closed. It should exceed MaxRequests;
+	// default twice MaxRequests.
+	MaxConnections    int
+	MaxHeaderBytes    int           // of a caller's request, bytes; default 32 KiB
+	ReadHeaderTimeout time.Duration // time to send the headers; default 5 s
+	IdleTimeout       time.Duration // of a caller's connection between requests; default 60 s
+	BodyIdleTimeout   time.Duration // longest pause of a sender within a body; default 10 s
 	// AnnouncementLifetime is how long an announcement is valid after it was
 	// received; default 3 s.
 	AnnouncementLifetime time.Duration
@@ -123,6 +130,9 @@
 	if c.MaxRequests == 0 {
 		c.MaxRequests = DefaultMaxRequests
 	}
+	if c.MaxConnections == 0 {
+		c.MaxConnections = connectionsPerRequest * c.MaxRequests
+	}
 	if c.MaxHeaderBytes == 0 {
 		c.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -44,6 +44,8 @@
 func (m *nodeMetrics) registerConnections(stats func() pipeline.Stats) {
 	metrics.NewRegisteredFunctionalGauge("caller_connections", m.registry, func() int64 { return stats().Open })
 	metrics.NewRegisteredFunctionalGauge("caller_connections_accepted", m.registry, func() int64 { return stats().Accepted })
+	metrics.NewRegisteredFunctionalGauge("caller_connections_quiet", m.registry, func() int64 { return stats().Quiet })
+	metrics.NewRegisteredFunctionalGauge("caller_connections_displaced", m.registry, func() int64 { return stats().Displaced })
 	metrics.NewRegisteredFunctionalGauge("caller_accept_errors", m.registry, func() int64 { return stats().AcceptErrors })
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 	n.backend.lifetime, n.backend.epoch = cfg.AnnouncementLifetime, cfg.Clock()
 	n.onward.epoch = n.backend.epoch
 	cfg.Directory.Watch(n.updateDestination)
-	n.callers = pipeline.NewListener(cfg.Callers, func(err error) {
+	n.callers = pipeline.NewListener(cfg.Callers, cfg.MaxConnections, func(err error) {
 		n.log.sampled("accept_failed", "listener", "callers", "error", err.Error())
 	})
 	n.metrics.registerConnections(n.callers.Stats)
--- a/settings/sidecar.go
+++ b/settings/sidecar.go
@@ -1,13 +1,19 @@
 package settings
 
 import (
+	"math"
 	"net"
 	"path/filepath"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/dotterelseam/dotterelseam/internal/strictyaml"
 )
 
+// MinOpenFiles is the smallest permitted value of Sidecar.OpenFiles.
+const MinOpenFiles = 512
+
 // Sidecar is the content of the settings file of a node that runs as a sidecar of
 // one backend server.
 type Sidecar struct {
@@ -21,6 +27,7 @@
 	// announces itself.
 	AnnouncementInterval time.Duration
 	MemoryLimit          int64    // memory that the process may use, in bytes
+	OpenFiles            int      // descriptors that the process may have open; default: the soft limit of the process
 	Bounds               []string // limits as name=value, in the format of platform.ParseBounds
 	StopLimit            time.Duration
 	LogLevel             LogLevel
@@ -83,7 +90,7 @@
 
 func readSidecar(root strictyaml.Value) Sidecar {
 	m, ok := root.Mapping("name", "data_centre", "region", "service", "addresses", "platform",
-		"announcement_interval", "memory", "bounds", "stop_limit", "log_level")
+		"announcement_interval", "memory", "open_files", "bounds", "stop_limit", "log_level")
 	if !ok {
 		return Sidecar{}
 	}
@@ -96,6 +103,7 @@
 	s.Platform = readURL(m.Require("platform"))
 	s.AnnouncementInterval, _ = m.Require("announcement_interval").Duration()
 	s.MemoryLimit, _ = m.Require("memory").Size()
+	s.OpenFiles = readOpenFiles(m.Get("open_files"))
 	bounds, _ := m.Get("bounds").List()
 	for _, v := range bounds {
 		text, _ := v.Text()
@@ -110,6 +118,29 @@
 	return s
 }
 
+// readOpenFiles returns the limit of the process if v does not exist or is above it.
+func readOpenFiles(v strictyaml.Value) int {
+	ofProcess := openFilesOfProcess()
+	if !v.Exists() {
+		return ofProcess
+	}
+	n, ok := v.Int()
+	if ok && n < MinOpenFiles {
+		v.Report("%d is less than %d", n, MinOpenFiles)
+	}
+	return min(n, ofProcess)
+}
+
+// openFilesOfProcess returns the soft limit of open descriptors, or math.MaxInt if there is
+// none or it cannot be read.
+func openFilesOfProcess() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt {
+		return math.MaxInt
+	}
+	return int(limit.Cur)
+}
+
 func readSidecarAddresses(v strictyaml.Value) SidecarAddresses {
 	m, ok := v.Mapping("callers", "peers", "peers_advertised", "announcements", "ready", "operators")
 	if !ok {
