pipeline: end connections whose first request never arrives whole

What callers see: nothing by itself; a caller that connects and sends nothing, or half a header, holds a descriptor of the node for as long as it likes. Cause: the time limits of net/http begin with the stream that a whole header opens, so neither the idle limit (60 s) nor the header limit (5 s) that design.md states held for these connections. Evidence: with the limits taken out, TestConnectionWithoutRequestEnds fails in both cases (i/o timeout after 10 s). Change: the listener applies both limits to the client's connection itself.

--- a/internal/pipeline/accept_test.go
+++ b/internal/pipeline/accept_test.go
@@ -46,7 +46,7 @@
 			failing := &failingListener{Listener: l, err: acceptError(errno)}
 			failing.failures.Store(3)
 			srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: ConnState}
-			go func() { _ = srv.Serve(NewListener(failing, testMaxConns, nil)) }()
+			go func() { _ = srv.Serve(NewListener(failing, Config{MaxConns: testMaxConns})) }()
 			t.Cleanup(func() { _ = srv.Close() })
 			client := &http.Client{Timeout: acceptTestTimeout}
 			resp, err := client.Get("http://" + l.Addr().String() + "/")
@@ -64,7 +64,7 @@
 	failing.failures.Store(math.MaxInt64)
 	failed := make(chan struct{})
 	var once sync.Once
-	p := NewListener(failing, testMaxConns, func(error) { once.Do(func() { close(failed) }) })
+	p := NewListener(failing, Config{MaxConns: testMaxConns, OnAcceptError: func(error) { once.Do(func() { close(failed) }) }})
 	t.Cleanup(func() { _ = p.Close() })
 	<-failed
 	assert.Assert(t, !p.Accepting())
@@ -113,3 +113,28 @@
 	assert.Equal(t, readBody(t, waitingAnswer), "/wait")
 	assert.Equal(t, readBody(t, postingAnswer), "/wait-too")
 }
+
+// Guards against connections that stay open for ever because their first request never arrives whole.
+func TestConnectionWithoutRequestEnds(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	for name, cfg := range map[string]Config{
+		"no byte":          {MaxConns: testMaxConns, FirstRequestTimeout: limit},
+		"part of a header": {MaxConns: testMaxConns, HeaderTimeout: limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			srv := &http.Server{Handler: http.NotFoundHandler(), ConnState: ConnState}
+			go func() { _ = srv.Serve(NewListener(l, cfg)) }()
+			t.Cleanup(func() { _ = srv.Close() })
+			conn, r := dial(t, l.Addr().String())
+			if cfg.HeaderTimeout > 0 {
+				_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost:")
+				assert.NilError(t, err)
+			}
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(acceptTestTimeout)))
+			_, err = io.ReadAll(r)
+			assert.NilError(t, err)
+		})
+	}
+}
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -21,6 +21,18 @@
 	acceptErrorCloseFraction = 32
 )
 
+// Config holds the limits of a Listener. A limit of 0 means none, except for MaxConns.
+type Config struct {
+	// MaxConns is the limit of open connections. For a new one beyond it, the one that has
+	// had no request for the longest time is closed.
+	MaxConns      int
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its header
+	// FirstRequestTimeout is how long a connection may stay without its first request. For
+	// later ones the idle timeout of the server applies.
+	FirstRequestTimeout time.Duration
+	OnAcceptError       func(error) // called with each error of Accept before a stop; may be nil
+}
+
 // Listener splits the connections of the wrapped listener into streams. Its methods
 // are safe for concurrent use.
 type Listener struct {
@@ -32,12 +44,11 @@
 	err       error // returned by Accept after done is closed
 
 	acceptStopped atomic.Bool // StopAccepting has closed the wrapped listener
-	maxConns      int64
+	cfg           Config
 	quiet         quietConns
 	stats         counters
 	epoch         time.Time
 	lastError     atomic.Int64 // time of the last error of Accept, ns since epoch; 0: none
-	onAcceptError func(error)  // nil: none
 }
 
 // Stats counts what happened to the connections of clients.
@@ -52,11 +63,9 @@
 type counters struct{ open, accepted, acceptErrors atomic.Int64 }
 
 // NewListener returns a Listener that accepts connections from l in the background
-// until StopAccepting or Close is called. It keeps at most maxConns connections open; for
-// a new one beyond that, it closes the one that has had no request for the longest time.
-// onAcceptError is called with each error of l.Accept before that; it may be nil.
-func NewListener(l net.Listener, maxConns int, onAcceptError func(error)) *Listener {
-	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), epoch: time.Now(), maxConns: int64(maxConns), onAcceptError: onAcceptError}
+// until StopAccepting or Close is called.
+func NewListener(l net.Listener, cfg Config) *Listener {
+	p := &Listener{Listener: l, conns: make(chan net.Conn), done: make(chan struct{}), epoch: time.Now(), cfg: cfg}
 	go p.acceptLoop()
 	return p
 }
@@ -103,10 +112,10 @@
 	}
 }
 
-// makeRoom closes connections without a request until no more than maxConns are open. It
+// makeRoom closes connections without a request until no more than MaxConns are open. It
 // waits while all of them have requests, and returns false if the listener was closed.
 func (l *Listener) makeRoom() bool {
-	for l.stats.open.Load() > l.maxConns {
+	for l.stats.open.Load() > int64(l.cfg.MaxConns) {
 		if l.quiet.closeOldest(1) == 0 && !l.pause(minAcceptDelay) {
 			return false
 		}
@@ -139,8 +148,8 @@
 func (l *Listener) noteAcceptError(err error) {
 	l.lastError.Store(int64(time.Since(l.epoch)))
 	l.stats.acceptErrors.Add(1)
-	if l.onAcceptError != nil {
-		l.onAcceptError(err)
+	if l.cfg.OnAcceptError != nil {
+		l.cfg.OnAcceptError(err)
 	}
 }
 
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -110,8 +110,9 @@
 	c.changed.L = &c.mu
 	defer c.endRequests()
 	r := bufio.NewReaderSize(c.conn, readBufferSize)
+	c.limitRead(c.listener.cfg.FirstRequestTimeout)
 	for {
-		header, exclusive, err := readHeader(r)
+		header, exclusive, err := c.readHeader(r)
 		if len(header) > 0 && !c.dispatch(header, exclusive) {
 			_, _ = io.Copy(io.Discard, r) // discard further requests until the connection is closed
 			return
@@ -129,6 +130,26 @@
 	}
 }
 
+// limitRead makes reads from the client fail after d; 0 means no limit.
+func (c *clientConn) limitRead(d time.Duration) {
+	var deadline time.Time
+	if d > 0 {
+		deadline = time.Now().Add(d)
+	}
+	_ = c.conn.SetReadDeadline(deadline) // it fails only on a closed connection
+}
+
+// readHeader is like the function readHeader, with a time limit from the first byte on.
+func (c *clientConn) readHeader(r *bufio.Reader) (header []byte, exclusive bool, err error) {
+	if _, err := r.Peek(1); err != nil {
+		return nil, false, err
+	}
+	c.limitRead(c.listener.cfg.HeaderTimeout)
+	header, exclusive, err = readHeader(r)
+	c.limitRead(0)
+	return header, exclusive, err
+}
+
 // exclusiveWriter passes bytes of the client on to its exclusive stream.
 type exclusiveWriter struct{ stream *stream }
 
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -29,7 +29,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := NewListener(l, testMaxConns, nil)
+	p := NewListener(l, Config{MaxConns: testMaxConns})
 	srv := &http.Server{Handler: h, ConnState: ConnState, IdleTimeout: idle}
 	go func() { _ = srv.Serve(p) }()
 	t.Cleanup(func() { _ = srv.Close() })
@@ -173,7 +173,7 @@
 func TestStopAcceptingKeepsOpenConnections(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	p := NewListener(l, testMaxConns, nil)
+	p := NewListener(l, Config{MaxConns: testMaxConns})
 	arrived, release := make(chan struct{}), make(chan struct{})
 	srv := &http.Server{ConnState: ConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/0" {
--- a/node/node.go
+++ b/node/node.go
@@ -78,8 +78,9 @@
 	n.backend.lifetime, n.backend.epoch = cfg.AnnouncementLifetime, cfg.Clock()
 	n.onward.epoch = n.backend.epoch
 	cfg.Directory.Watch(n.updateDestination)
-	n.callers = pipeline.NewListener(cfg.Callers, cfg.MaxConnections, func(err error) {
-		n.log.sampled("accept_failed", "listener", "callers", "error", err.Error())
+	n.callers = pipeline.NewListener(cfg.Callers, pipeline.Config{
+		MaxConns: cfg.MaxConnections, HeaderTimeout: cfg.ReadHeaderTimeout, FirstRequestTimeout: cfg.IdleTimeout,
+		OnAcceptError: func(err error) { n.log.sampled("accept_failed", "listener", "callers", "error", err.Error()) },
 	})
 	n.metrics.registerConnections(n.callers.Stats)
 	n.cfg.Callers = n.callers
