edge, node: read the rate limit that a backend server names and log it

Nothing could show that a backend server had named a limit, which one, or when it ended. No request is treated differently.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -94,6 +94,7 @@
 	inFlight      int
 	limiter       limiter
 	ramp          ramp
+	rate          rateLimit
 	queue         queue
 	usage         usageTable
 	threshold     importanceThreshold
@@ -110,7 +111,7 @@
 	}
 	c := &Controller{
 		clock: cfg.Clock, epoch: cfg.Clock(), queueTimeout: cfg.QueueTimeout, queueLength: cfg.QueueLength,
-		limiter: limiter{fixed: cfg.FixedLimit}, usage: newUsageTable(), threshold: newImportanceThreshold(),
+		limiter: limiter{fixed: cfg.FixedLimit}, rate: newRateLimit(), usage: newUsageTable(), threshold: newImportanceThreshold(),
 	}
 	c.limiter.setMaxLimit(maxLimit(cfg.Slots, cfg.Connections))
 	return c
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,9 @@
 	// ClassifyResponse reports whether a response of the backend server is the response
 	// to the delivery, or why it is not.
 	ClassifyResponse(resp *http.Response, d *Delivery) ResponseClass
+	// Signals returns what the backend server says about itself in a response that is
+	// valid or says that the request did not run.
+	Signals(resp *http.Response) Signals
 	// WriteRefusal sends a refusal as the complete response to a caller.
 	WriteRefusal(w http.ResponseWriter, r *refusal.Refusal)
 	// PropagatesContext reports whether the onward calls of a backend server carry the
--- a/internal/loadtest/protocol.go
+++ b/internal/loadtest/protocol.go
@@ -14,6 +14,7 @@
 const (
 	headerWorkspace = "Load-Workspace"
 	headerTimeout   = "Load-Timeout-Ms" // remaining time, milliseconds
+	headerRateLimit = "Rate-Limit"
 	headerNotRun    = "Load-Not-Run"
 )
 
@@ -59,6 +60,11 @@
 	return edge.ValidResponse
 }
 
+// Signals implements edge.Protocol.
+func (protocol) Signals(resp *http.Response) edge.Signals {
+	return edge.ReadSignals(resp.Header.Get(headerRateLimit))
+}
+
 // WriteRefusal implements edge.Protocol.
 func (protocol) WriteRefusal(w http.ResponseWriter, r *refusal.Refusal) { refusal.Write(w, r) }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -172,3 +172,12 @@
 	t.drainUntil.Store(t.since(now.Add(drainSignalLifetime)))
 	return changed
 }
+
+// rateLimit returns the requests per second that the backend server takes; +Inf if it
+// named no limit or is not known.
+func (t *backendTracker) rateLimit() float64 {
+	if b := t.current.Load(); b != nil {
+		return b.admission.RateLimit()
+	}
+	return edge.NoRateLimit
+}
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -98,6 +98,7 @@
 		Importance: d.hop.Importance, Deadline: d.req.deadline, Depth: d.hop.Depth,
 	}, d.hop.Attempts-1)
 	ctx = d.call.Context()
+	sentAt := d.node.now()
 	resp, sent, err := d.backend.conns.roundTrip(ctx, &outboundRequest{
 		method: d.req.method, address: d.backend.Address, host: d.req.host, url: &d.req.target.url,
 		header: d.req.header, extraHeaders: d.node.cfg.Protocol.ContextHeaders(d.edgeDelivery()), body: d.req.body,
@@ -108,7 +109,7 @@
 	if err != nil {
 		return nil, d.exchangeFailure(ctx, sent, err)
 	}
-	if f := d.checkResponse(resp); f != nil {
+	if f := d.checkResponse(resp, sentAt); f != nil {
 		return nil, f
 	}
 	res := newResponse(resp, d.req.method, resp.ContentLength)
@@ -140,9 +141,13 @@
 }
 
 // checkResponse returns the failure that a response stands for, or nil if it is the
-// response to the request.
-func (d *delivery) checkResponse(resp *http.Response) *failure {
-	switch d.node.cfg.Protocol.ClassifyResponse(resp, d.edgeDelivery()) {
+// response to the request, which was sent at sentAt.
+func (d *delivery) checkResponse(resp *http.Response, sentAt time.Time) *failure {
+	class := d.node.cfg.Protocol.ClassifyResponse(resp, d.edgeDelivery())
+	if class != edge.WrongInstance && class != edge.InvalidResponse {
+		d.observeSignals(resp, sentAt)
+	}
+	switch class {
 	case edge.NotRun:
 		return d.shedFailure(resp, false)
 	case edge.NotRunDraining:
--- a/node/headers.go
+++ b/node/headers.go
@@ -20,6 +20,7 @@
 	headerDeadline  = "Dotterel-Deadline-Ms"
 	headerNotRun    = "Dotterel-Not-Run"
 	headerDraining  = "Dotterel-Draining"
+	headerRateLimit = "Dotterel-Rate-Limit" // requests per second that the backend server takes from all nodes together
 	headerReplayed  = "Dotterel-Replayed"
 
 	// headerAnswerLength carries the declared length of a response on a hop, where
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -40,6 +41,18 @@
 	return m
 }
 
+// registerRateLimit adds the limit that the backend server on this host names, rounded up;
+// -1 means none.
+func (m *nodeMetrics) registerRateLimit(current func() float64) {
+	metrics.NewRegisteredFunctionalGauge("backend_rate_limit", m.registry, func() int64 {
+		limit := current()
+		if math.IsInf(limit, 1) {
+			return -1
+		}
+		return int64(math.Ceil(limit))
+	})
+}
+
 // registerConnections adds the metrics of the callers' connections.
 func (m *nodeMetrics) registerConnections(stats func() pipeline.Stats) {
 	metrics.NewRegisteredFunctionalGauge("caller_connections", m.registry, func() int64 { return stats().Open })
--- a/node/node.go
+++ b/node/node.go
@@ -83,6 +83,7 @@
 		OnAcceptError: func(err error) { n.log.sampled("accept_failed", "listener", "callers", "error", err.Error()) },
 	})
 	n.metrics.registerConnections(n.callers.Stats)
+	n.metrics.registerRateLimit(n.backend.rateLimit)
 	n.cfg.Callers = n.callers
 	n.servers = []*http.Server{
 		n.server(n.serveCallers, cfg.IdleTimeout),
--- a/node/protocol.go
+++ b/node/protocol.go
@@ -88,6 +88,11 @@
 	return edge.NotRun
 }
 
+// Signals implements edge.Protocol.
+func (nativeProtocol) Signals(resp *http.Response) edge.Signals {
+	return edge.ReadSignals(resp.Header.Get(headerRateLimit))
+}
+
 // WriteRefusal implements edge.Protocol.
 func (nativeProtocol) WriteRefusal(w http.ResponseWriter, r *refusal.Refusal) { refusal.Write(w, r) }
 
