node: keep announcing the backend servers of tests that take longer than an announcement is valid

Cause: its backend server is announced once, and an announcement is valid for 3 s; on a busy machine the second upload of 64 MB begins later than that and is refused as no_backend_server. The refusal is right, the test is wrong. Evidence: 32 copies of the test beside each other, two runs each, with the race detector: 64 of 64 fail with 503. With announcements every 500 ms, as backend servers send them: 64 of 64 pass. What the test checks is unchanged.

--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -263,7 +263,7 @@
 	}
 	srv.Start()
 	defer srv.Close()
-	f.postAnnouncement(h, standin.Announcement{Service: "stock", Address: srv.Listener.Addr().String(), Slots: 64, Connections: connections, State: "serving"})
+	f.announce(h, standin.Announcement{Service: "stock", Address: srv.Listener.Addr().String(), Slots: 64, Connections: connections, State: "serving"})
 	var wg sync.WaitGroup
 	for range 64 {
 		wg.Go(func() {
--- a/node/forward_test.go
+++ b/node/forward_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -20,21 +22,43 @@
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
+const announceInterval = 500 * time.Millisecond
+
 // startHandler starts a backend server with the given handler and announces it to a
 // node.
 func (f *fleet) startHandler(h *host, service string, handler http.HandlerFunc) {
 	f.t.Helper()
 	srv := httptest.NewServer(handler)
 	f.t.Cleanup(srv.CloseClientConnections)
-	f.postAnnouncement(h, standin.Announcement{Service: service, Address: srv.Listener.Addr().String(), Slots: 64, Connections: 128, State: "serving"})
+	f.announce(h, standin.Announcement{Service: service, Address: srv.Listener.Addr().String(), Slots: 64, Connections: 128, State: "serving"})
 }
 
-func (f *fleet) postAnnouncement(h *host, a standin.Announcement) {
+// announce announces a backend server to a node, and again until the test ends so that
+// the announcement does not expire.
+func (f *fleet) announce(h *host, a standin.Announcement) {
 	f.t.Helper()
 	body, err := json.Marshal(a)
 	assert.NilError(f.t, err)
 	resp, _ := do(f.t, newRequest(f.t, "POST", h.local+"/v1/announce", body))
 	assert.Equal(f.t, resp.StatusCode, http.StatusNoContent)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go func() {
+		tick := time.NewTicker(announceInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			resp, err := http.Post(h.local+"/v1/announce", "application/json", bytes.NewReader(body))
+			if err != nil {
+				return // the test has stopped the node
+			}
+			_ = resp.Body.Close()
+		}
+	}()
 }
 
 // Guards the headers and trailers that nodes forward: no key and no forged internal
