admission, node, balancer: keep to the rate limit that a backend server names

Class: a limit for all nodes together that nobody on the path enforces. Change: the node beside the backend server, which every request passes, has a token bucket in its admission controller. A request above the limit is refused at once as backend_limited, not run, while its entry node knows another server with room, and goes there; otherwise it waits in the queue in the order of importance. The refusal costs no retry tokens while there is room elsewhere, is no failure of the endpoint and does not throttle routes. Entry nodes send what they have heard back with each hop, so that a restarted node knows the limit before the first answer. A limit belongs to one start of one server.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -54,6 +54,7 @@
 	Deadline   time.Time     // zero means none
 	Admitted   bool          // part of a call tree that has already been admitted
 	MaxWait    time.Duration // shortens the longest wait in the queue; 0 means the Controller's own limit
+	NoRateWait bool          // refused instead of queued if the rate limit lets it wait, because another backend server has room
 }
 
 // Outcome is the way in which an admitted request ended.
@@ -95,6 +96,7 @@
 	limiter       limiter
 	ramp          ramp
 	rate          rateLimit
+	rateTimer     *time.Timer // calls dispatch when the rate limit lets the next request through; nil before its first use
 	queue         queue
 	usage         usageTable
 	threshold     importanceThreshold
@@ -157,6 +159,12 @@
 // limit returns the current concurrency limit. c.mu must be held.
 func (c *Controller) limit(now int64) int { return c.ramp.apply(now, c.limiter.current()) }
 
+// hasRoom reports whether the concurrency limit and the rate limit let another request
+// through. c.mu must be held.
+func (c *Controller) hasRoom(now int64) bool {
+	return c.inFlight < c.limit(now) && c.rate.wait(now, 0) == 0
+}
+
 // queueLimit returns the maximum number of queued requests. c.mu must be held.
 func (c *Controller) queueLimit() int {
 	if c.queueLength > 0 {
@@ -174,7 +182,8 @@
 
 // Acquire waits until r may run and returns its ticket, which must be released
 // exactly once. The error is a *refusal.Refusal with Ran set to RanNo; its reason
-// is Overload, or Deadline if the deadline cannot be met or ctx ended.
+// is Overload, BackendLimited if only the rate limit stands in the way, or Deadline if the
+// deadline cannot be met or ctx ended.
 func (c *Controller) Acquire(ctx context.Context, r Request) (Ticket, error) {
 	if ctx.Err() != nil {
 		return Ticket{}, errCallerGone
@@ -183,7 +192,7 @@
 	deadline := c.deadline(r)
 	c.mu.Lock()
 	c.refusalRatios[clampImportance(r.Importance)].recordArrival(now)
-	if c.queue.length == 0 && c.inFlight < c.limit(now) && c.canMeetDeadline(now, deadline, 0) {
+	if c.queue.length == 0 && c.hasRoom(now) && c.canMeetDeadline(now, deadline, 0) {
 		c.admit(now, r.Importance, c.usage.get(now, r.Workspace))
 		c.mu.Unlock()
 		return Ticket{c: c, start: now, importance: r.Importance}, nil
@@ -235,6 +244,7 @@
 // admit counts a request as running. c.mu must be held.
 func (c *Controller) admit(now int64, i config.Importance, u *usage) {
 	c.inFlight++
+	c.rate.take(now)
 	c.limiter.recordInFlight(c.inFlight)
 	c.threshold.lastAdmitted[clampImportance(i)] = now
 	u.served++
@@ -246,21 +256,25 @@
 func (c *Controller) enqueue(now, deadline int64, r Request) (*waiter, error) {
 	u := c.usage.get(now, r.Workspace)
 	class := classOf(r.Importance, r.Admitted)
-	if !c.canMeetDeadline(now, deadline, c.queue.countAhead(class, u)) {
+	ahead := c.queue.countAhead(class, u)
+	if !c.canMeetDeadline(now, deadline, ahead) {
 		return nil, c.refuseDeadline(now, r.Importance)
 	}
+	wait := c.maxQueueWait()
+	if r.MaxWait > 0 {
+		wait = min(wait, int64(r.MaxWait))
+	}
+	if turn := c.rate.wait(now, ahead); turn > c.maxRateWait(now, wait, deadline, r.NoRateWait) {
+		return nil, c.refuseRate(now, turn, r.Importance)
+	}
 	if c.queue.length >= c.queueLimit() {
 		displaced := c.queue.displacedBy(class, u)
 		if displaced == nil {
 			return nil, c.refuseOverload(now, r.Importance, "queue is full")
 		}
-		c.refuseQueued(displaced, c.refuseOverload(now, displaced.importance, "displaced by a more important or less served request"))
+		c.refuseQueued(displaced, c.refuseWaiting(now, displaced.importance, "displaced by a more important or less served request"))
 	}
 	w := c.waiters.get()
-	wait := c.maxQueueWait()
-	if r.MaxWait > 0 {
-		wait = min(wait, int64(r.MaxWait))
-	}
 	w.arrived, w.expires, w.deadline = now, now+wait, deadline
 	w.importance, w.class, w.usage = r.Importance, class, u
 	c.queue.push(w)
@@ -299,7 +313,7 @@
 		return c.ticketFor(w, <-w.decided)
 	}
 	if reason == nil {
-		reason = c.refuseOverload(now, w.importance, "waited too long")
+		reason = c.refuseWaiting(now, w.importance, "waited too long")
 	}
 	c.queue.remove(w)
 	c.mu.Unlock()
@@ -321,9 +335,13 @@
 		if w == nil {
 			return
 		}
+		if c.rate.wait(now, 0) > 0 {
+			c.dispatchLater(now)
+			return
+		}
 		switch {
 		case now >= w.expires:
-			c.refuseQueued(w, c.refuseOverload(now, w.importance, "waited too long"))
+			c.refuseQueued(w, c.refuseWaiting(now, w.importance, "waited too long"))
 		case !c.canMeetDeadline(now, w.deadline, 0):
 			c.refuseQueued(w, c.refuseDeadline(now, w.importance))
 		default:
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +37,10 @@
 // recorder queues requests and records the order in which they are admitted and
 // refused.
 type recorder struct {
-	t       *testing.T
-	c       *Controller
+	t *testing.T
+	c *Controller
+
+	mu      sync.Mutex // guards the fields below
 	order   []string
 	refused []string
 }
@@ -46,11 +49,14 @@
 func (r *recorder) queue(name string, req Request) {
 	go func() {
 		ticket, err := r.c.Acquire(context.Background(), req)
+		r.mu.Lock()
 		if err != nil {
 			r.refused = append(r.refused, name)
+			r.mu.Unlock()
 			return
 		}
 		r.order = append(r.order, name)
+		r.mu.Unlock()
 		ticket.Release(OK)
 	}()
 	synctest.Wait()
--- a/admission/threshold.go
+++ b/admission/threshold.go
@@ -134,12 +134,13 @@
 	c.lowerThresholdIfFree(now)
 	return peer.Threshold{
 		Lowest: c.threshold.lowest, InFlight: c.inFlight, Queued: c.queue.length, Limit: c.limit(now),
+		RateWaitMicros: time.Duration(c.rate.wait(now, c.queue.length)).Microseconds(),
 	}
 }
 
-// lowerThresholdIfFree lowers the threshold if a slot is free. c.mu must be held.
+// lowerThresholdIfFree lowers the threshold if a request would be admitted at once. c.mu must be held.
 func (c *Controller) lowerThresholdIfFree(now int64) {
-	if c.threshold.lowest > config.Low && c.queue.length == 0 && c.inFlight < c.limit(now) {
+	if c.threshold.lowest > config.Low && c.queue.length == 0 && c.hasRoom(now) {
 		c.threshold.lower(now)
 	}
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -250,6 +250,18 @@
 	return false
 }
 
+// HasRoom reports whether any usable endpoint outside info.Exclude admits the call and is
+// not known to be full.
+func (b *Balancer) HasRoom(info PickInfo) bool {
+	now := b.now()
+	for _, s := range b.table.Load().all {
+		if s.eligibility(now, &info) == hasHeadroom {
+			return true
+		}
+	}
+	return false
+}
+
 // Done records the result of the call.
 func (p Pick) Done(r Result) {
 	now := p.b.now()
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -70,9 +70,10 @@
 }
 
 // saturated reports whether this node's own calls fill the slots of the endpoint, or
-// whether the endpoint has recently reported that it is full.
+// whether the endpoint has recently reported that it is full or that its rate limit lets
+// no request through yet.
 func (s *endpointState) saturated(e *Endpoint, now int64) bool {
-	return float64(s.inFlight.Load()) >= s.slots(e, now) || s.threshold.full(now)
+	return float64(s.inFlight.Load()) >= s.slots(e, now) || s.threshold.full(now) || s.threshold.rateWait(now) > 0
 }
 
 // slots returns the number of slots, reduced during a cold start, at least 1.
@@ -128,12 +129,13 @@
 
 func (r *movingRatio) reset() { r.bits.Store(0) }
 
-// cost returns (in flight + 1) x expected latency / slots. In flight is this node's own
-// count or the load that the endpoint has recently reported, whichever is higher.
+// cost returns (in flight + 1) x expected latency / slots, plus the time for which the
+// rate limit of the endpoint lets no request through. In flight is this node's own count
+// or the load that the endpoint has recently reported, whichever is higher.
 func (s *endpointState) cost(now int64, assumed float64) float64 {
 	l := s.expectedLatency(now, assumed)
 	n := max(int(s.inFlight.Load()), s.threshold.load(now))
-	return float64(n+1) * l / s.slots(s.endpoint.Load(), now)
+	return float64(n+1)*l/s.slots(s.endpoint.Load(), now) + float64(s.threshold.rateWait(now))
 }
 
 const (
@@ -181,6 +183,7 @@
 type thresholdReport struct {
 	packed     atomic.Uint64
 	receivedAt atomic.Int64 // nanoseconds; 0 means that none was received
+	rateFreeAt atomic.Int64 // when the rate limit lets the next request through, nanoseconds
 }
 
 // store replaces the report and returns true if v admits a lower importance than the
@@ -194,6 +197,7 @@
 	lowest := min(v.Lowest, config.Critical)
 	old := t.packed.Swap(uint64(lowest) | full<<2 | load<<3)
 	t.receivedAt.Store(now)
+	t.rateFreeAt.Store(now + max(v.RateWaitMicros, 0)*int64(time.Microsecond))
 	return lowest < config.Importance(old&3)
 }
 
@@ -208,6 +212,9 @@
 	return config.Importance(t.packed.Load() & 3), t.fresh(now, int64(admission.ThresholdTTL))
 }
 
+// rateWait returns how long the rate limit lets no request through, in nanoseconds.
+func (t *thresholdReport) rateWait(now int64) int64 { return max(t.rateFreeAt.Load()-now, 0) }
+
 func (t *thresholdReport) full(now int64) bool {
 	return t.packed.Load()&4 != 0 && t.fresh(now, loadTTL)
 }
--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -155,6 +155,33 @@
 	f.services[service][index].slowdown.Store(factor)
 }
 
+// SetRateLimit makes one backend server of a service name a limit in its responses, in
+// requests per second; 0 means that it names none. It does not enforce the limit.
+func (f *Fleet) SetRateLimit(service string, index int, perSecond float64) {
+	f.services[service][index].limit.Store(perSecond)
+}
+
+// MostArrivals returns the largest number of requests that one backend server of a
+// service got in any span of that length, of those from the time from on.
+func (f *Fleet) MostArrivals(service string, index int, from time.Time, span time.Duration) int {
+	s := f.services[service][index]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range s.arrivals {
+		for s.arrivals[first].Before(from) || at.Sub(s.arrivals[first]) >= span {
+			if first == last {
+				break
+			}
+			first++
+		}
+		if !at.Before(from) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
 const dataCentre = "dudley"
 
 func nodeName(service string, index int) string { return fmt.Sprintf("%s-%d", service, index) }
--- a/internal/loadtest/server.go
+++ b/internal/loadtest/server.go
@@ -19,9 +19,11 @@
 	stop     func()
 	refusals atomicFloat
 	slowdown atomicFloat // 0: none
+	limit    atomicFloat // requests per second named in responses; 0: none
 
-	mu     sync.Mutex
-	random *rand.Rand
+	mu       sync.Mutex
+	random   *rand.Rand
+	arrivals []time.Time
 }
 
 type atomicFloat struct{ v atomic.Value }
@@ -42,6 +44,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
+	if limit := s.limit.Load(); limit > 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if s.draw() < s.refusals.Load() {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/node/backend.go
+++ b/node/backend.go
@@ -114,7 +114,7 @@
 // inheritFrom sets up the connection pool and the admission control of b. It reuses
 // those of old if old is the same backend server.
 func (b *backendServer) inheritFrom(old *backendServer, limits admission.Config, dial dialFunc) {
-	same := old != nil && old.Address == b.Address && old.Service == b.Service && old.Instance == b.Instance
+	same := old != nil && old.Address == b.Address && old.Service == b.Service && old.Instance == b.Instance && old.Started == b.Started
 	if same && old.Connections == b.Connections {
 		b.conns = old.conns
 	} else {
--- a/node/call.go
+++ b/node/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/attempt"
@@ -103,6 +104,9 @@
 	if f.notTried && c.lastRefusal != nil {
 		r = c.lastRefusal
 	}
+	if r.Reason == refusal.BackendLimited {
+		r = c.noCapacity(r)
+	}
 	if c.worstRan == r.Ran {
 		return r
 	}
@@ -111,6 +115,17 @@
 	return &out
 }
 
+// noCapacity returns the refusal of a call for which every backend server that it tried
+// has reached its rate limit. Only now it is a sign of overload.
+func (c *call) noCapacity(r *refusal.Refusal) *refusal.Refusal {
+	if !c.node.cfg.Protocol.PropagatesContext() && c.info.Workspace == "" {
+		c.node.onward.recordRefusal(c.node.now())
+	}
+	out := *r
+	out.Reason = refusal.Overload
+	return &out
+}
+
 // try delivers the call once, to an endpoint picked by the balancer.
 func (c *call) try(ctx context.Context) (*response, *failure) {
 	pick, err := c.dest.balancer.Pick(c.pickInfo())
@@ -157,6 +172,13 @@
 	return balancer.PickInfo{Exclude: c.excludedNodes, Importance: c.info.Importance, Admitted: c.admitted}
 }
 
+// pickInfoWithout is pickInfo for an endpoint on another node than the given one.
+func (c *call) pickInfoWithout(node string) balancer.PickInfo {
+	info := c.pickInfo()
+	info.Exclude = append(slices.Clone(info.Exclude), node)
+	return info
+}
+
 // send makes one try at the endpoint e, on this node or by a hop to another one.
 func (c *call) send(ctx context.Context, e balancer.Endpoint, attempts int, now time.Time) (*response, *failure) {
 	left := c.info.Deadline.Sub(now)
@@ -168,6 +190,8 @@
 	if c.node.versions != nil {
 		hop.Version, hop.SenderAddress = c.node.version(), c.node.cfg.PeerAddress
 	}
+	hop.Backend = c.node.reports.get(e.Node)
+	hop.NoRateWait = hop.Backend != nil && c.dest.balancer.HasRoom(c.pickInfoWithout(e.Node))
 	hop.MaxQueueWaitMicros = c.maxQueueWait().Microseconds()
 	if e.Node == c.node.cfg.ID {
 		return c.node.deliver(ctx, hop, c.req)
@@ -238,6 +262,7 @@
 	result := balancer.Result{Latency: latency, Outcome: f.outcome, Unreachable: f.unreachable, BackendFailed: f.result.ShedByBackend, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
 	if f.resultReceived {
 		result.Threshold = knownThreshold(&f.result.Threshold)
+		c.node.reports.record(pick.Endpoint().Node, &f.result)
 	}
 	c.budget.Return(f.result.AttemptsUnused)
 	c.recordOnwardThreshold(result.Threshold)
@@ -278,6 +303,7 @@
 		if !res.resultLost {
 			result.Threshold = knownThreshold(&res.result.Threshold)
 			result.Draining = res.result.Draining
+			c.node.reports.record(res.pick.Endpoint().Node, &res.result)
 			c.recordOnwardThreshold(result.Threshold)
 			c.recordResult(&res.result, nil)
 		}
@@ -351,7 +377,8 @@
 	wait, ok := c.dest.retries.Allow(retry.Try{
 		Number: c.tries, Importance: c.info.Importance, Reason: r.Reason, Ran: r.Ran, Idempotent: c.route.Idempotent, RetriedOnward: retried,
 		BodyReplayable: c.req.body.replayable(), OtherEndpointAdmits: c.dest.balancer.Admits(c.pickInfo()),
-		BackendNotReached: c.backendNotReached, RetryAfter: r.RetryAfter, AttemptsLeft: c.budget.Left(), Deadline: c.info.Deadline,
+		OtherEndpointHasRoom: r.Reason == refusal.BackendLimited && c.dest.balancer.HasRoom(c.pickInfo()),
+		BackendNotReached:    c.backendNotReached, RetryAfter: r.RetryAfter, AttemptsLeft: c.budget.Left(), Deadline: c.info.Deadline,
 	})
 	if !ok {
 		return false
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -77,10 +77,11 @@
 		return nil, d.refuse(refusal.New(refusal.AttemptsExhausted, "no attempt is left for the delivery"), admission.Cancelled)
 	}
 	d.backend = backend
+	d.learnReport(hop.Backend)
 	queued := n.now()
 	ticket, err := backend.admission.Acquire(ctx, admission.Request{
 		Workspace: hop.Workspace, Importance: hop.Importance, Admitted: hop.Admitted, Deadline: req.deadline,
-		MaxWait: time.Duration(hop.MaxQueueWaitMicros) * time.Microsecond,
+		MaxWait: time.Duration(hop.MaxQueueWaitMicros) * time.Microsecond, NoRateWait: hop.NoRateWait,
 	})
 	if err != nil {
 		return nil, d.refuse(refusal.FromError(err), admission.Cancelled)
@@ -268,6 +269,9 @@
 		estimate := d.node.throttle.Observe(d.hop.Route, d.hop.Importance, result.OnwardOverload, d.node.onward.maxFailureRatio(d.node.now()))
 		result.AdmitRatio, result.FailureRatio = estimate.AdmitRatio, estimate.FailureRatio
 	}
+	if d.backend != nil {
+		result.Backend = d.backend.report()
+	}
 	if d.backend != nil && !d.node.cfg.Protocol.PropagatesContext() {
 		refusalRatio := d.backend.admission.RefusalRatio(d.hop.Importance)
 		result.FailureRatio = refusalRatio + (1-refusalRatio)*result.FailureRatio
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
@@ -263,7 +264,7 @@
 	}
 	srv.Start()
 	defer srv.Close()
-	f.announce(h, standin.Announcement{Service: "stock", Address: srv.Listener.Addr().String(), Slots: 64, Connections: connections, State: "serving"})
+	f.announce(h, edge.Announcement{Service: "stock", Address: srv.Listener.Addr().String(), Slots: 64, Connections: connections, State: "serving"})
 	var wg sync.WaitGroup
 	for range 64 {
 		wg.Go(func() {
--- a/node/forward_test.go
+++ b/node/forward_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/refusal"
@@ -30,12 +31,12 @@
 	f.t.Helper()
 	srv := httptest.NewServer(handler)
 	f.t.Cleanup(srv.CloseClientConnections)
-	f.announce(h, standin.Announcement{Service: service, Address: srv.Listener.Addr().String(), Slots: 64, Connections: 128, State: "serving"})
+	f.announce(h, edge.Announcement{Service: service, Address: srv.Listener.Addr().String(), Slots: 64, Connections: 128, State: "serving"})
 }
 
 // announce announces a backend server to a node, and again until the test ends so that
 // the announcement does not expire.
-func (f *fleet) announce(h *host, a standin.Announcement) {
+func (f *fleet) announce(h *host, a edge.Announcement) {
 	f.t.Helper()
 	body, err := json.Marshal(a)
 	assert.NilError(f.t, err)
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,7 @@
 	versions     VersionObserver // nil if cfg.Configuration does not implement it
 	peers        PeerObserver    // nil if cfg.Directory does not implement it
 	onward       onwardOverload
+	reports      backendReports
 
 	draining        atomic.Bool // a stop was announced
 	stopping        atomic.Bool // new requests are refused
--- a/node/response.go
+++ b/node/response.go
@@ -39,7 +39,7 @@
 	switch r.Reason {
 	case refusal.BackendFailed, refusal.AnswerIncomplete, refusal.NoBackendServer, refusal.Internal, refusal.WrongNode:
 		return balancer.Failed
-	case refusal.Overload, refusal.Draining:
+	case refusal.Overload, refusal.Draining, refusal.BackendLimited:
 		return balancer.Refused
 	case refusal.Deadline:
 		if r.Ran == refusal.RanNo {
--- a/node/signals.go
+++ b/node/signals.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"math"
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/dotterelseam/dotterelseam/peer"
 )
 
 // observeSignals applies what the backend server says about itself in the response to a
@@ -19,3 +23,50 @@
 			"per_second", signals.RateLimit, "before", before)
 	}
 }
+
+// report returns what the backend server has said about itself, or nil if there is nothing
+// that restricts it.
+func (b *backendServer) report() *peer.BackendReport {
+	r := &peer.BackendReport{Instance: b.Instance, Started: b.Started, RateLimit: b.admission.RateLimit()}
+	if math.IsInf(r.RateLimit, 1) {
+		return nil
+	}
+	return r
+}
+
+// learnReport applies a report that another node has received from this host, if it is of
+// the same start of the backend server.
+func (d *delivery) learnReport(r *peer.BackendReport) {
+	b := d.backend
+	if r == nil || r.Instance != b.Instance || r.Started != b.Started || math.IsNaN(r.RateLimit) || r.RateLimit < 0 {
+		return
+	}
+	if b.admission.LearnRateLimit(r.RateLimit) {
+		d.node.log.sampled("backend_limited", "service", b.Service, "instance", b.Instance, "per_second", r.RateLimit, "heard_from", d.hop.SenderAddress)
+	}
+}
+
+// backendReports holds the latest report of the backend server on each host, by node ID.
+// It is safe for concurrent use.
+type backendReports struct{ byNode sync.Map }
+
+// get returns the latest report, or nil if there is none.
+func (b *backendReports) get(node string) *peer.BackendReport {
+	v, ok := b.byNode.Load(node)
+	if !ok {
+		return nil
+	}
+	return v.(*peer.BackendReport)
+}
+
+// record keeps the report of a result. A result of a node without a backend server says
+// nothing about it.
+func (b *backendReports) record(node string, result *peer.HopResult) {
+	switch {
+	case result.Threshold.Limit == 0:
+	case result.Backend != nil:
+		b.byNode.Store(node, result.Backend)
+	default:
+		b.byNode.Delete(node)
+	}
+}
--- a/peer/hop.go
+++ b/peer/hop.go
@@ -41,6 +41,8 @@
 	Version            uint64            `cbor:"15,keyasint,omitempty"` // configuration in force at the sender
 	SenderAddress      string            `cbor:"16,keyasint,omitempty"` // the sender's peers listener, ip:port
 	Target             string            `cbor:"14,keyasint,omitempty"` // node that the request is meant for
+	Backend            *BackendReport    `cbor:"17,keyasint,omitempty"` // latest report of the destination's backend server; nil if it had nothing to report
+	NoRateWait         bool              `cbor:"18,keyasint,omitempty"` // refuse the request instead of queueing it for the rate limit of the backend server
 	Origin             string            `cbor:"12,keyasint,omitempty"` // service of the entry node's host
 }
 
@@ -55,20 +57,24 @@
 	InFlight int               `cbor:"2,keyasint"` // requests being processed
 	Queued   int               `cbor:"3,keyasint"` // requests waiting in the admission queue
 	Limit    int               `cbor:"4,keyasint"` // current concurrency limit
+	// RateWaitMicros is the time until the rate limit that the backend server names lets
+	// another request through, microseconds; 0 without such a limit.
+	RateWaitMicros int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // HopResult is the trailer of a response from a destination node.
 type HopResult struct {
-	AttemptsUnused int       `cbor:"1,keyasint"` // attempts of Hop.Attempts that were not used
-	Threshold      Threshold `cbor:"2,keyasint"`
-	Complete       bool      `cbor:"3,keyasint"`            // the whole body was sent
-	Retried        bool      `cbor:"4,keyasint,omitempty"`  // an onward call was already retried; the caller's node must not retry
-	Draining       bool      `cbor:"5,keyasint,omitempty"`  // the backend server is draining
-	OnwardOverload bool      `cbor:"6,keyasint,omitempty"`  // an onward call was refused for overload and the response is a failure
-	ShedByBackend  bool      `cbor:"7,keyasint,omitempty"`  // the backend server itself refused the request
-	AdmitRatio     float64   `cbor:"8,keyasint,omitempty"`  // ratio of requests of this route and importance that can be completed at present; 0 means unknown
-	Version        uint64    `cbor:"10,keyasint,omitempty"` // configuration in force at the destination
-	FailureRatio   float64   `cbor:"9,keyasint,omitempty"`  // ratio of requests of this route and importance that are refused, or that fail because an onward call was refused, 0 to 1
+	AttemptsUnused int            `cbor:"1,keyasint"` // attempts of Hop.Attempts that were not used
+	Threshold      Threshold      `cbor:"2,keyasint"`
+	Complete       bool           `cbor:"3,keyasint"`            // the whole body was sent
+	Retried        bool           `cbor:"4,keyasint,omitempty"`  // an onward call was already retried; the caller's node must not retry
+	Draining       bool           `cbor:"5,keyasint,omitempty"`  // the backend server is draining
+	OnwardOverload bool           `cbor:"6,keyasint,omitempty"`  // an onward call was refused for overload and the response is a failure
+	ShedByBackend  bool           `cbor:"7,keyasint,omitempty"`  // the backend server itself refused the request
+	AdmitRatio     float64        `cbor:"8,keyasint,omitempty"`  // ratio of requests of this route and importance that can be completed at present; 0 means unknown
+	Version        uint64         `cbor:"10,keyasint,omitempty"` // configuration in force at the destination
+	Backend        *BackendReport `cbor:"11,keyasint,omitempty"` // nil if there is nothing to report
+	FailureRatio   float64        `cbor:"9,keyasint,omitempty"`  // ratio of requests of this route and importance that are refused, or that fail because an onward call was refused, 0 to 1
 }
 
 // EncodeHeader returns v as a header value: CBOR in unpadded URL-safe base64. The
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -63,6 +63,9 @@
 	LedgerUnavailable Reason = "ledger_unavailable"
 	NoConfiguration   Reason = "no_configuration"
 	Internal          Reason = "internal"
+	// BackendLimited is used only between nodes: the backend server takes fewer requests per
+	// second than arrive for it.
+	BackendLimited Reason = "backend_limited"
 	// WrongNode is used only between nodes: the address now belongs to another node.
 	WrongNode Reason = "wrong_node"
 )
@@ -90,6 +93,7 @@
 	LedgerUnavailable: http.StatusServiceUnavailable,
 	NoConfiguration:   http.StatusServiceUnavailable,
 	Internal:          http.StatusInternalServerError,
+	BackendLimited:    http.StatusServiceUnavailable,
 	WrongNode:         http.StatusMisdirectedRequest,
 }
 
--- a/report/outcome.go
+++ b/report/outcome.go
@@ -29,7 +29,7 @@
 )
 
 // MaxOutcomes is an upper bound of NumOutcomes, for arrays of counters.
-const MaxOutcomes = 32
+const MaxOutcomes = 34
 
 // Origin tells who caused an outcome other than a complete response in time.
 type Origin string
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -121,18 +121,19 @@
 // Try describes a failed try of a call. A try may fail without reaching a backend
 // server; only deliveries to backend servers count as attempts (package attempt).
 type Try struct {
-	Number              int // tries made so far, including this one
-	Importance          config.Importance
-	Reason              refusal.Reason
-	Ran                 refusal.Ran
-	Idempotent          bool          // the route is idempotent
-	RetriedOnward       bool          // the failure is that of an onward call, whose retries the destination node has already decided on
-	BodyReplayable      bool          // the body can be sent again, or no byte of it was sent
-	OtherEndpointAdmits bool          // an endpoint on which this call has not failed or been refused admits it
-	BackendNotReached   bool          // this try reached no backend server
-	RetryAfter          time.Duration // from the refusal; 0 means none
-	AttemptsLeft        int           // deliveries left in the budget of the call (package attempt)
-	Deadline            time.Time     // zero means none
+	Number               int // tries made so far, including this one
+	Importance           config.Importance
+	Reason               refusal.Reason
+	Ran                  refusal.Ran
+	Idempotent           bool          // the route is idempotent
+	RetriedOnward        bool          // the failure is that of an onward call, whose retries the destination node has already decided on
+	BodyReplayable       bool          // the body can be sent again, or no byte of it was sent
+	OtherEndpointAdmits  bool          // an endpoint on which this call has not failed or been refused admits it
+	OtherEndpointHasRoom bool          // one of them is not known to be full
+	BackendNotReached    bool          // this try reached no backend server
+	RetryAfter           time.Duration // from the refusal; 0 means none
+	AttemptsLeft         int           // deliveries left in the budget of the call (package attempt)
+	Deadline             time.Time     // zero means none
 }
 
 // retryable holds the reasons for which another try may succeed. Calls refused for other
@@ -145,11 +146,12 @@
 	refusal.NoBackendServer:  true,
 	refusal.Internal:         true,
 	refusal.WrongNode:        true,
+	refusal.BackendLimited:   true,
 }
 
 // Allow reports whether the call may be retried, and after what delay. A retry that it
 // allows is taken out of the bucket, unless no backend server was reached and the reason
-// is not Overload.
+// is neither Overload nor, without another endpoint that has room, BackendLimited.
 func (p *Policy) Allow(t Try) (delay time.Duration, ok bool) {
 	if !retryable[t.Reason] || t.RetriedOnward || t.AttemptsLeft <= 0 || !t.BodyReplayable {
 		return 0, false
@@ -157,7 +159,7 @@
 	if t.Ran != refusal.RanNo && !t.Idempotent {
 		return 0, false
 	}
-	if t.Reason == refusal.Overload && !t.OtherEndpointAdmits {
+	if (t.Reason == refusal.Overload || t.Reason == refusal.BackendLimited) && !t.OtherEndpointAdmits {
 		return 0, false
 	}
 	now := p.cfg.Clock()
@@ -166,8 +168,9 @@
 		return 0, false
 	}
 	// The bucket protects backend servers, and a try that reached none caused no
-	// load on them. Retries after an overload refusal are limited nevertheless.
-	if t.BackendNotReached && t.Reason != refusal.Overload {
+	// load on them. Retries after an overload refusal are limited nevertheless, and those
+	// after a refusal for a rate limit if all other endpoints are full.
+	if t.BackendNotReached && t.Reason != refusal.Overload && (t.Reason != refusal.BackendLimited || t.OtherEndpointHasRoom) {
 		return delay, true
 	}
 	if !p.takeToken(now, p.reservedTokens(t.Importance)) {
