node: keep what is known of a backend server whose announcements are late

What callers saw: after announcements that were late by more than their lifetime, the same backend server started with new admission control: its named limit was forgotten, and the requests still in flight did not count against its slots. Cause: an expired announcement dropped the backend server with all that was known of it; the next announcement of the same start was treated as a new server. Change: the tracker keeps the expired one's admission control for the next announcement of the same start.

--- a/node/backend.go
+++ b/node/backend.go
@@ -35,7 +35,8 @@
 	drainUntil    atomic.Int64                  // time at which the last drain signal expires, ns since epoch
 	probing       atomic.Bool
 
-	mu             sync.Mutex        // serialises changes of current; guards latest and withdrawnStart
+	mu             sync.Mutex        // serialises changes of current; guards the fields below
+	expired        *backendServer    // the one that expired last, without conns; nil if another one has been announced since
 	latest         edge.Announcement // newest announcement seen, by Started and Sequence
 	withdrawnStart int64             // Started of the backend server that was withdrawn last, or 0
 }
@@ -103,7 +104,12 @@
 		return false
 	}
 	b := &backendServer{Announcement: a, state: edge.States[a.State]}
-	b.inheritFrom(old, limits, t.dial)
+	if old == nil {
+		b.inheritFrom(t.expired, limits, t.dial)
+	} else {
+		b.inheritFrom(old, limits, t.dial)
+	}
+	t.expired = nil
 	t.current.Store(b)
 	if old != nil && old.conns != b.conns {
 		old.conns.close()
@@ -115,7 +121,7 @@
 // those of old if old is the same backend server.
 func (b *backendServer) inheritFrom(old *backendServer, limits admission.Config, dial dialFunc) {
 	same := old != nil && old.Address == b.Address && old.Service == b.Service && old.Instance == b.Instance && old.Started == b.Started
-	if same && old.Connections == b.Connections {
+	if same && old.conns != nil && old.Connections == b.Connections {
 		b.conns = old.conns
 	} else {
 		b.conns = newConnPool(nil, backendDialTimeout, backendIdleTimeout, b.Connections, b.Connections)
@@ -161,6 +167,7 @@
 	}
 	t.current.Store(nil)
 	b.conns.close()
+	t.expired = &backendServer{Announcement: b.Announcement, state: b.state, admission: b.admission}
 	return true
 }
 
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 	"unsafe"
@@ -52,3 +53,32 @@
 	assert.Assert(t, o.refusedRecently(withTimeOfDay(now.Add(time.Millisecond), 60)))
 	assert.Assert(t, !o.refusedRecently(withTimeOfDay(now.Add(onwardRefusalWindow+time.Millisecond), -60)))
 }
+
+// Guards against a backend server whose announcements were late and that gets more
+// requests than the limit it has named, or than it has slots, once they arrive again.
+func TestExpiredBackendKeepsLimits(t *testing.T) {
+	for name, tc := range map[string]struct {
+		started int64
+		keeps   bool
+	}{"same server": {1, true}, "started anew": {2, false}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			tracker := backendTracker{lifetime: time.Second, epoch: now}
+			a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1", Started: 1, Sequence: 1}
+			assert.Assert(t, tracker.applyAnnouncement(a, admission.Config{}, now))
+			before := tracker.current.Load().admission
+			_, err := before.Acquire(context.Background(), admission.Request{})
+			assert.NilError(t, err)
+			before.ObserveRateLimit(time.Now(), 5)
+			now = now.Add(2 * time.Second)
+			assert.Assert(t, tracker.expire(now))
+			a.Started, a.Sequence = tc.started, 2
+			assert.Assert(t, tracker.applyAnnouncement(a, admission.Config{}, now))
+			after := tracker.current.Load().admission
+			assert.Equal(t, after.RateLimit() == 5, tc.keeps)
+			assert.Equal(t, after.Threshold().InFlight == 1, tc.keeps)
+			_, refused := tracker.usable("shop", now)
+			assert.Assert(t, refused == nil, "%v", refused)
+		})
+	}
+}
