node, edge: no new requests to a backend server that says in its responses that it leaves

What callers saw: a server that leaves and says so in its responses, but not (or not yet) in its announcements, went on getting requests until it ended; those in flight then failed. Cause: only announcements and refusals were read. Class: a source of "draining" that the one place that decides does not know. It does not expire, as a server that gets no requests cannot repeat it. It travels with results and hops like the limit, so a node that is restarted learns it from the nodes that have heard it. Evidence: TestLeavingNamedInResponses and TestReportSurvivesRefusal fail without the reading; the restart case also without the report of the other nodes.

--- a/edge/signals_test.go
+++ b/edge/signals_test.go
@@ -13,14 +13,28 @@
 		"24.5":   {RateLimit: 24.5},
 		"0":      {RateLimit: 0},
 		"1e3":    {RateLimit: 1000},
-		"-1":     {Unreadable: "-1"},
-		"NaN":    {Unreadable: "NaN"},
-		"+Inf":   {Unreadable: "+Inf"},
-		"1e999":  {Unreadable: "1e999"},
-		"24,5":   {Unreadable: "24,5"},
-		"24.5/s": {Unreadable: "24.5/s"},
-		" ":      {Unreadable: " "},
+		"-1":     {UnreadableLimit: "-1"},
+		"NaN":    {UnreadableLimit: "NaN"},
+		"+Inf":   {UnreadableLimit: "+Inf"},
+		"1e999":  {UnreadableLimit: "1e999"},
+		"24,5":   {UnreadableLimit: "24,5"},
+		"24.5/s": {UnreadableLimit: "24.5/s"},
+		" ":      {UnreadableLimit: " "},
 	} {
-		t.Run(value, func(t *testing.T) { assert.Equal(t, ReadSignals(value), want) })
+		t.Run(value, func(t *testing.T) { assert.Equal(t, ReadSignals(value, ""), want) })
+	}
+}
+
+// Guards against a backend server that is taken for leaving because of a malformed value.
+func TestReadLeaving(t *testing.T) {
+	for value, want := range map[string]Signals{
+		"":     {RateLimit: NoRateLimit},
+		"1":    {RateLimit: NoRateLimit, Leaving: true},
+		"true": {RateLimit: NoRateLimit, Leaving: true},
+		"0":    {RateLimit: NoRateLimit},
+		"soon": {RateLimit: NoRateLimit, UnreadableLeaving: "soon"},
+		"11":   {RateLimit: NoRateLimit, UnreadableLeaving: "11"},
+	} {
+		t.Run(value, func(t *testing.T) { assert.Equal(t, ReadSignals("", value), want) })
 	}
 }
--- a/internal/loadtest/protocol.go
+++ b/internal/loadtest/protocol.go
@@ -62,7 +62,7 @@
 
 // Signals implements edge.Protocol.
 func (protocol) Signals(resp *http.Response) edge.Signals {
-	return edge.ReadSignals(resp.Header.Get(headerRateLimit))
+	return edge.ReadSignals(resp.Header.Get(headerRateLimit), "")
 }
 
 // WriteRefusal implements edge.Protocol.
--- a/node/backend.go
+++ b/node/backend.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelseam/dotterelseam/admission"
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/edge"
+	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
@@ -23,6 +24,14 @@
 	state     balancer.State
 	conns     *connPool
 	admission *admission.Controller
+	drain     *drainSignals
+}
+
+// drainSignals holds what one start of a backend server has said about draining other
+// than in announcements. It is safe for concurrent use.
+type drainSignals struct {
+	leaving atomic.Bool  // a response said that it takes no new requests until it ends
+	until   atomic.Int64 // time at which the last other signal expires, ns since the epoch of the tracker
 }
 
 // backendTracker holds the current backendServer. It is safe for concurrent use.
@@ -32,7 +41,6 @@
 	current       atomic.Pointer[backendServer] // nil without a valid announcement
 	epoch         time.Time                     // start of the node
 	lastAnnounced atomic.Int64                  // time of the last announcement, ns since epoch
-	drainUntil    atomic.Int64                  // time at which the last drain signal expires, ns since epoch
 	probing       atomic.Bool
 
 	mu             sync.Mutex        // serialises changes of current; guards the fields below
@@ -86,7 +94,7 @@
 }
 
 func (t *backendTracker) draining(b *backendServer, now time.Time) bool {
-	return b.state == balancer.Draining || t.since(now) < t.drainUntil.Load()
+	return b.state == balancer.Draining || b.drain.leaving.Load() || t.since(now) < b.drain.until.Load()
 }
 
 // applyAnnouncement applies a valid announcement and reports whether it changed the
@@ -128,11 +136,11 @@
 		b.conns.dialFunc = dial
 	}
 	if same {
-		b.admission = old.admission
+		b.admission, b.drain = old.admission, old.drain
 		b.admission.Resize(b.Slots, b.Connections)
 	} else {
 		limits.Slots, limits.Connections = b.Slots, b.Connections
-		b.admission = admission.New(limits)
+		b.admission, b.drain = admission.New(limits), &drainSignals{}
 	}
 	started := b.state == balancer.Serving && (!same || old.state == balancer.Starting)
 	if started && b.ColdStartMS > 0 {
@@ -167,19 +175,50 @@
 	}
 	t.current.Store(nil)
 	b.conns.close()
-	t.expired = &backendServer{Announcement: b.Announcement, state: b.state, admission: b.admission}
+	t.expired = &backendServer{Announcement: b.Announcement, state: b.state, admission: b.admission, drain: b.drain}
 	return true
 }
 
-// noteDraining records a drain signal and reports whether the backend server was not
-// known to be draining before.
-func (t *backendTracker) noteDraining(now time.Time) bool {
-	b := t.current.Load()
-	changed := b != nil && !t.draining(b, now)
-	t.drainUntil.Store(t.since(now.Add(drainSignalLifetime)))
+// noteDraining records that b is draining, after a signal that expires, and reports
+// whether it was not known to be draining before.
+func (t *backendTracker) noteDraining(b *backendServer, now time.Time) bool {
+	changed := !t.draining(b, now)
+	b.drain.until.Store(t.since(now.Add(drainSignalLifetime)))
+	return changed
+}
+
+// noteLeaving records that b takes no new requests until it ends, and reports whether it
+// was not known to be draining before. The signal does not expire, because a backend
+// server that gets no requests cannot repeat it.
+func (t *backendTracker) noteLeaving(b *backendServer, now time.Time) bool {
+	changed := !t.draining(b, now)
+	b.drain.leaving.Store(true)
 	return changed
 }
 
+// report returns what the backend server has said about itself in its responses, or nil
+// if nothing restricts it or there is none.
+func (t *backendTracker) report() *peer.BackendReport {
+	b := t.current.Load()
+	if b == nil {
+		return nil
+	}
+	r := &peer.BackendReport{Instance: b.Instance, Started: b.Started, RateLimit: b.admission.RateLimit(), Leaving: b.drain.leaving.Load()}
+	if r.RateLimit == edge.NoRateLimit && !r.Leaving {
+		return nil
+	}
+	return r
+}
+
+// reported returns the backend server if r is about it, or nil.
+func (t *backendTracker) reported(r *peer.BackendReport) *backendServer {
+	b := t.current.Load()
+	if r == nil || b == nil || r.Instance != b.Instance || r.Started != b.Started {
+		return nil
+	}
+	return b
+}
+
 // rateLimit returns the requests per second that the backend server takes; +Inf if it
 // named no limit or is not known.
 func (t *backendTracker) rateLimit() float64 {
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -35,7 +35,7 @@
 	_, refused := tracker.usable("shop", later)
 	assert.Assert(t, refused == nil, "%v", refused)
 	assert.Assert(t, !tracker.expire(later))
-	tracker.noteDraining(later)
+	tracker.noteDraining(tracker.current.Load(), later)
 	_, refused = tracker.usable("shop", now.Add(2*time.Millisecond))
 	assert.Equal(t, refused.Reason, refusal.Draining)
 	assert.Assert(t, tracker.expire(later.Add(2*time.Second)))
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -65,6 +65,7 @@
 // which must be closed, or the failure.
 func (n *Node) deliver(ctx context.Context, hop *peer.Hop, req *inboundRequest) (*response, *failure) {
 	d := &delivery{node: n, hop: hop, req: req}
+	d.learnReport(hop.Backend)
 	backend, refused := n.backend.usable(hop.Service, n.now())
 	if refused == nil && n.stopping.Load() {
 		refused = refusal.New(refusal.Draining, "the node is stopping")
@@ -77,7 +78,6 @@
 		return nil, d.refuse(refusal.New(refusal.AttemptsExhausted, "no attempt is left for the delivery"), admission.Cancelled)
 	}
 	d.backend = backend
-	d.learnReport(hop.Backend)
 	queued := n.now()
 	ticket, err := backend.admission.Acquire(ctx, admission.Request{
 		Workspace: hop.Workspace, Importance: hop.Importance, Admitted: hop.Admitted, Deadline: req.deadline,
@@ -207,7 +207,7 @@
 	readShortBody(resp) // a connection whose answer was read to its end can be reused
 	if draining {
 		d.draining = true
-		d.node.noteBackendDraining("refusal")
+		d.node.noteBackendDraining(d.backend, "refusal")
 		return d.shedWith(refusal.New(refusal.Draining, "the backend server is draining"))
 	}
 	d.node.probeHealth(d.backend)
@@ -261,7 +261,7 @@
 	if d.admitted {
 		d.ticket.Release(outcome)
 	}
-	result.Threshold = d.node.threshold()
+	result.Threshold, result.Backend = d.node.threshold(), d.node.backend.report()
 	if d.node.versions != nil {
 		result.Version = d.node.version()
 	}
@@ -269,9 +269,6 @@
 		estimate := d.node.throttle.Observe(d.hop.Route, d.hop.Importance, result.OnwardOverload, d.node.onward.maxFailureRatio(d.node.now()))
 		result.AdmitRatio, result.FailureRatio = estimate.AdmitRatio, estimate.FailureRatio
 	}
-	if d.backend != nil {
-		result.Backend = d.backend.report()
-	}
 	if d.backend != nil && !d.node.cfg.Protocol.PropagatesContext() {
 		refusalRatio := d.backend.admission.RefusalRatio(d.hop.Importance)
 		result.FailureRatio = refusalRatio + (1-refusalRatio)*result.FailureRatio
--- a/node/headers.go
+++ b/node/headers.go
@@ -21,6 +21,7 @@
 	headerNotRun    = "Dotterel-Not-Run"
 	headerDraining  = "Dotterel-Draining"
 	headerRateLimit = "Dotterel-Rate-Limit" // requests per second that the backend server takes from all nodes together
+	headerLeaving   = "Dotterel-Leaving"    // 1 if the backend server takes no new requests until it ends
 	headerReplayed  = "Dotterel-Replayed"
 
 	// headerAnswerLength carries the declared length of a response on a hop, where
--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -92,9 +92,9 @@
 		{name: "draining", posts: []string{good, strings.Replace(good, "serving", "draining", 1)}, want: refusal.Draining},
 		{name: "back again", posts: []string{strings.Replace(good, "serving", "draining", 1), good}},
 		{name: "expired", posts: []string{good}, then: func(n *Node) { offset.Add(int64(DefaultAnnouncementLifetime) + 1) }, want: refusal.NoBackendServer},
-		{name: "draining refusal", posts: []string{good}, then: func(n *Node) { n.noteBackendDraining("refusal") }, want: refusal.Draining},
+		{name: "draining refusal", posts: []string{good}, then: func(n *Node) { n.noteBackendDraining(n.backend.current.Load(), "refusal") }, want: refusal.Draining},
 		{name: "draining refusal, expired", posts: []string{good}, then: func(n *Node) {
-			n.noteBackendDraining("refusal")
+			n.noteBackendDraining(n.backend.current.Load(), "refusal")
 			offset.Add(int64(drainSignalLifetime))
 		}},
 		{name: "other service", posts: []string{strings.Replace(good, `"s"`, `"x"`, 1)}, want: refusal.NoBackendServer},
--- a/node/node.go
+++ b/node/node.go
@@ -246,15 +246,28 @@
 	n.backgroundTasks.Go(f)
 }
 
-// noteBackendDraining stops new requests to the backend server after a drain signal
-// other than an announcement. signal is its name in the log.
-func (n *Node) noteBackendDraining(signal string) {
-	if n.backend.noteDraining(n.now()) {
-		n.log.event("backend_draining", "sign", signal)
-		n.background(n.publish)
+// noteBackendDraining stops new requests to b after a drain signal that expires. signal
+// is its name in the log.
+func (n *Node) noteBackendDraining(b *backendServer, signal string) {
+	if n.backend.noteDraining(b, n.now()) {
+		n.drainBegins(b, signal)
 	}
 }
 
+// noteBackendLeaving stops new requests to b until it ends. signal is the name of the
+// signal in the log.
+func (n *Node) noteBackendLeaving(b *backendServer, signal string) {
+	if n.backend.noteLeaving(b, n.now()) {
+		n.drainBegins(b, signal)
+	}
+}
+
+// drainBegins logs and announces that b is draining.
+func (n *Node) drainBegins(b *backendServer, signal string) {
+	n.log.event("backend_draining", "sign", signal, "instance", b.Instance)
+	n.background(n.publish)
+}
+
 // probeHealth queries the health endpoint of the backend server in the background, at
 // most once at a time. Only a report of draining is used, because health endpoints may
 // be late or wrong. The endpoint is part of the project's own protocol, so no other
@@ -278,7 +291,7 @@
 			State string `json:"state"`
 		}
 		if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxHealthBody)).Decode(&health) == nil && health.State == "draining" {
-			n.noteBackendDraining("health")
+			n.noteBackendDraining(b, "health")
 		}
 	})
 }
--- a/node/protocol.go
+++ b/node/protocol.go
@@ -90,7 +90,7 @@
 
 // Signals implements edge.Protocol.
 func (nativeProtocol) Signals(resp *http.Response) edge.Signals {
-	return edge.ReadSignals(resp.Header.Get(headerRateLimit))
+	return edge.ReadSignals(resp.Header.Get(headerRateLimit), resp.Header.Get(headerLeaving))
 }
 
 // WriteRefusal implements edge.Protocol.
--- a/node/signals.go
+++ b/node/signals.go
@@ -13,9 +13,16 @@
 // request that was sent at sentAt.
 func (d *delivery) observeSignals(resp *http.Response, sentAt time.Time) {
 	signals := d.node.cfg.Protocol.Signals(resp)
+	if signals.Leaving {
+		d.draining = true
+		d.node.noteBackendLeaving(d.backend, "answer")
+	}
 	log, b := d.node.log, d.backend
-	if signals.Unreadable != "" {
-		log.sampled("limit_not_readable", "service", b.Service, "instance", b.Instance, "value", signals.Unreadable)
+	if signals.UnreadableLeaving != "" {
+		log.sampled("leaving_not_readable", "service", b.Service, "instance", b.Instance, "value", signals.UnreadableLeaving)
+	}
+	if signals.UnreadableLimit != "" {
+		log.sampled("limit_not_readable", "service", b.Service, "instance", b.Instance, "value", signals.UnreadableLimit)
 		return
 	}
 	if before, changed := b.admission.ObserveRateLimit(sentAt, signals.RateLimit); changed {
@@ -24,21 +31,17 @@
 	}
 }
 
-// report returns what the backend server has said about itself, or nil if there is nothing
-// that restricts it.
-func (b *backendServer) report() *peer.BackendReport {
-	r := &peer.BackendReport{Instance: b.Instance, Started: b.Started, RateLimit: b.admission.RateLimit()}
-	if math.IsInf(r.RateLimit, 1) {
-		return nil
-	}
-	return r
-}
-
 // learnReport applies a report that another node has received from this host, if it is of
 // the same start of the backend server.
 func (d *delivery) learnReport(r *peer.BackendReport) {
-	b := d.backend
-	if r == nil || r.Instance != b.Instance || r.Started != b.Started || math.IsNaN(r.RateLimit) || r.RateLimit < 0 {
+	b := d.node.backend.reported(r)
+	if b == nil {
+		return
+	}
+	if r.Leaving {
+		d.node.noteBackendLeaving(b, "report")
+	}
+	if math.IsNaN(r.RateLimit) || r.RateLimit < 0 {
 		return
 	}
 	if b.admission.LearnRateLimit(r.RateLimit) {
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -4,11 +4,14 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
+	"github.com/dotterelseam/dotterelseam/peer"
 )
 
 // signallingServer is a backend server that sends signal, a header field, with its first
@@ -86,3 +89,70 @@
 		})
 	}
 }
+
+// Guards against new requests to a backend server that says only in its responses that it
+// leaves: while its announcements say serving, after they were late, and after a restart
+// of the node beside it.
+func TestLeavingNamedInResponses(t *testing.T) {
+	again := func(_ *fleet, h *host, a *edge.Announcement) *host { return h }
+	for name, tc := range map[string]struct {
+		then    func(f *fleet, h *host, a *edge.Announcement) *host // returns the host on which the server is announced again
+		leaving bool
+	}{
+		"announced as serving again": {again, true},
+		"late announcements": {func(_ *fleet, h *host, _ *edge.Announcement) *host {
+			h.node.backend.expire(h.node.now().Add(time.Hour))
+			return h
+		}, true},
+		"node restarted": {func(f *fleet, h *host, _ *edge.Announcement) *host {
+			h.node.close()
+			return f.startHost("b", "", standin.BackendBehaviour{})
+		}, true},
+		"other server at the address": {func(_ *fleet, h *host, a *edge.Announcement) *host {
+			a.Instance, a.Started = "i-2", a.Started+1
+			return h
+		}, false},
+		"started anew": {func(_ *fleet, h *host, a *edge.Announcement) *host {
+			a.Started++
+			return h
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "stock")
+			entry, h := f.startHost("a", "", standin.BackendBehaviour{}), f.startHost("b", "", standin.BackendBehaviour{})
+			s := newSignallingServer(edge.HeaderField{Name: headerLeaving, Value: "1"})
+			close(s.release)
+			a := f.startSignallingServer(h, s)
+			resp, _ := do(t, newKeyedRequest(t, "GET", entry.url+"/stock/items/1", nil))
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			<-s.received
+			waitFor(t, func() bool { return f.directory.Endpoints("stock")[0].State == balancer.Draining })
+
+			h = tc.then(f, h, &a)
+			f.announce(h, a)
+			hop := &peer.Hop{CallID: "c", Service: "stock", Attempts: 1, RemainingMicros: 1e6, Backend: entry.node.reports.get("b")}
+			encoded, err := peer.EncodeHeader(hop)
+			assert.NilError(t, err)
+			req := newRequest(t, "GET", h.peers+"/items/1", nil)
+			req.Header.Set(peer.HeaderHop, encoded)
+			req.Header.Set(peer.HeaderToken, testSecret)
+			do(t, req)
+			assert.Equal(t, len(s.received) == 0, tc.leaving)
+		})
+	}
+}
+
+// Guards against a report about a backend server that is deleted when its node refuses a
+// request: a node that is restarted next would not learn that its server leaves.
+func TestReportSurvivesRefusal(t *testing.T) {
+	f := newFleet(t, "stock")
+	entry, h := f.startHost("a", "", standin.BackendBehaviour{}), f.startHost("b", "", standin.BackendBehaviour{})
+	s := newSignallingServer(edge.HeaderField{Name: headerLeaving, Value: "1"})
+	close(s.release)
+	f.startSignallingServer(h, s)
+	for range 3 {
+		do(t, newKeyedRequest(t, "GET", entry.url+"/stock/items/1", nil))
+	}
+	assert.Equal(t, len(s.received), 1)
+	assert.Assert(t, entry.node.reports.get("b").Leaving)
+}
