node: a withdrawn backend server stays away after its announcements were late or the node was restarted

What callers saw: a server that had said it leaves for good, and whose late announcement arrived after that, was in use again. Cause: a withdrawal was recorded only if the node knew the server at that moment; not after its announcement had expired, nor in a process started since. And the check of the recorded start was reached only for the newest start announced. Change: the start of a withdrawn server is recorded in any case and checked first.

--- a/node/backend.go
+++ b/node/backend.go
@@ -58,14 +58,14 @@
 // held.
 func (t *backendTracker) outdated(a *edge.Announcement) bool {
 	switch {
+	case a.Started != 0 && a.Sequence != 0 && a.Started == t.withdrawnStart:
+		return true
 	case a.Started != t.latest.Started:
 		return a.Started < t.latest.Started
 	case a.Sequence == 0:
 		return false
-	case a.Instance == t.latest.Instance && a.Sequence <= t.latest.Sequence:
-		return true
 	}
-	return a.Started != 0 && a.Started == t.withdrawnStart
+	return a.Instance == t.latest.Instance && a.Sequence <= t.latest.Sequence
 }
 
 // equalExceptSequence reports whether two announcements are equal apart from Sequence
@@ -155,7 +155,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.current.Load()
-	if b == nil || b.Instance != instance || started != 0 && started != b.Started {
+	if b == nil {
+		// It may have expired, or may have been announced to an earlier process of this node.
+		if started == 0 && t.expired != nil && t.expired.Instance == instance {
+			started = t.expired.Started
+		}
+		t.withdrawnStart = max(t.withdrawnStart, started)
+		return false
+	}
+	if b.Instance != instance || started != 0 && started != b.Started {
 		return false
 	}
 	t.withdrawnStart = b.Started
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -82,3 +82,41 @@
 		})
 	}
 }
+
+// Guards against a backend server that has been withdrawn and is in use again after a
+// late announcement: also if the node did not know it any more at the withdrawal, because
+// its announcements were late or the node had been restarted.
+func TestWithdrawnBackendStaysAway(t *testing.T) {
+	a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1", Started: 7, Sequence: 1}
+	now := time.Now()
+	announce := func(tracker *backendTracker) { tracker.applyAnnouncement(a, admission.Config{}, now) }
+	expire := func(tracker *backendTracker) {
+		announce(tracker)
+		tracker.expire(now.Add(time.Hour))
+	}
+	for name, tc := range map[string]struct {
+		before  func(*backendTracker)
+		started int64 // in the withdrawal; 0: not given
+	}{
+		"known":                {announce, a.Started},
+		"known, no start":      {announce, 0},
+		"expired":              {expire, a.Started},
+		"expired, no start":    {expire, 0},
+		"node restarted since": {func(*backendTracker) {}, a.Started},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := backendTracker{lifetime: time.Second, epoch: now}
+			tc.before(&tracker)
+			tracker.withdraw(a.Instance, tc.started)
+			late := a
+			late.Sequence++
+			assert.Assert(t, !tracker.applyAnnouncement(late, admission.Config{}, now))
+			assert.Assert(t, tracker.current.Load() == nil)
+			next := a
+			next.Started++
+			assert.Assert(t, tracker.applyAnnouncement(next, admission.Config{}, now))
+			_, refused := tracker.usable("shop", now)
+			assert.Assert(t, refused == nil, "%v", refused)
+		})
+	}
+}
