soak: backend servers that name limits, or leaving, in their responses

The soak had no server that says something about itself in its responses, so it could not see either fault beside restarts, pauses, cuts and a store that is away. New checks LIMIT and DRAIN by responses, as the platform counts them: by the nodes that have passed on such a response, without those that were restarted, paused or (LIMIT) cut off since. The signals have a random stream of their own, so the faults of the regression seeds stay as they were.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -37,6 +37,8 @@
 //     retries to a service than its retry budget permits
 //   - REFUSED: a request ran although its response states that it did not
 //   - DRAIN: a backend server received a request after the end of its drain grace period
+//   - LIMIT: a backend server received more requests than the rate limit that it names in
+//     its responses permits
 //   - MIXED: a response does not belong to its request or is not from a backend server
 //   - LOST: a request got no response because of the planned stop of its node
 //   - QUOTA: more requests of a workspace ran than its quota permits
@@ -78,6 +80,7 @@
 	unplannedFaults []span            // host is nil, whichever hosts are affected
 	plannedStops    []span            // by host
 	pauses          []span            // by host
+	signals         []*signal         // of backend servers, in order of their starts
 }
 
 // span is a period in which a host, or the whole fleet if host is nil, was affected by
@@ -135,6 +138,7 @@
 		return
 	}
 	r.runs = append(r.runs, run)
+	c.recordSignalledRun(h, r, run)
 	switch {
 	case run.Key != "":
 		c.recordLocked("UNASKED", run.ID, "the key was forwarded to %s", run.Instance)
@@ -182,6 +186,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.ended, r.status = at, status
+	c.recordSignalSeen(r)
 	switch {
 	case problem != "":
 		c.recordLocked("MIXED", r.ID, "status %d: %s", status, problem)
@@ -223,6 +228,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkQuota()
+	c.checkRateLimits()
 	c.checkRetryBudget()
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,7 @@
 const (
 	minFaults, maxFaults               = 6, 12
 	minPlanned, maxPlanned             = 2, 5 // additional planned operations with Options.PlannedWork
+	minSignals, maxSignals             = 2, 4 // additional signals of backend servers with Options.Signals
 	minFaultDuration, maxFaultDuration = 300 * time.Millisecond, 5 * time.Second
 	massFaultFraction                  = 0.6 // of all hosts
 	maxDelay                           = 150 * time.Millisecond
@@ -52,6 +53,9 @@
 		planned := slices.DeleteFunc(slices.Clone(faultKinds), func(k faultKind) bool { return !k.planned })
 		out = append(out, drawInjections(rand.New(rand.NewPCG(o.Seed, 2)), planned, minPlanned, maxPlanned, period)...)
 	}
+	if o.Signals {
+		out = append(out, drawInjections(rand.New(rand.NewPCG(o.Seed, 3)), signalKinds, minSignals, maxSignals, period)...)
+	}
 	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
@@ -93,7 +97,8 @@
 
 // inject runs one injection and returns when it is over.
 func (s *soakRun) inject(i *Injection) {
-	k := &faultKinds[slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.name == i.Kind })]
+	kinds := slices.Concat(faultKinds, signalKinds)
+	k := &kinds[slices.IndexFunc(kinds, func(k faultKind) bool { return k.name == i.Kind })]
 	hosts := make([]*host, len(i.Hosts))
 	for n, index := range i.Hosts {
 		hosts[n] = s.fleet.hosts[index]
@@ -135,7 +140,12 @@
 			}
 			end := f.checker.beginSpan(&f.checker.pauses, h)
 			h.signal(syscall.SIGSTOP)
-			return func() { h.signal(syscall.SIGCONT); end(); h.processMu.Unlock() }
+			return func() {
+				h.signal(syscall.SIGCONT)
+				end()
+				f.checker.excuse(h)
+				h.processMu.Unlock()
+			}
 		})
 	}},
 	{name: "rolling_stop", planned: true, begin: func(f *fleet, _ *Injection, hosts []*host) func() {
@@ -179,11 +189,19 @@
 		return f.setLinkRule(hosts, true, harness.Rule{Delay: time.Duration(i.Amount * float64(maxDelay))})
 	}},
 	{name: "reset", begin: func(f *fleet, _ *Injection, hosts []*host) func() {
-		forEachConcurrently(hosts, func(h *host) { f.network.Reset(h.zone); f.network.Reset(h.storeZone) })
+		forEachConcurrently(hosts, func(h *host) {
+			f.network.Reset(h.zone)
+			f.network.Reset(h.storeZone)
+			f.checker.excuseLimits(h)
+		})
 		return nil
 	}},
 	{name: "silence", begin: func(f *fleet, _ *Injection, hosts []*host) func() {
-		forEachConcurrently(hosts, func(h *host) { f.network.Blackhole(h.zone); f.network.Blackhole(h.storeZone) })
+		forEachConcurrently(hosts, func(h *host) {
+			f.network.Blackhole(h.zone)
+			f.network.Blackhole(h.storeZone)
+			f.checker.excuseLimits(h)
+		})
 		return nil
 	}},
 	{name: "store_cut", begin: func(f *fleet, _ *Injection, hosts []*host) func() {
@@ -257,6 +275,7 @@
 func (f *fleet) setLinkRule(hosts []*host, both bool, r harness.Rule) (end func()) {
 	set := func(r harness.Rule) {
 		for _, h := range hosts {
+			f.checker.excuseLimits(h)
 			for _, other := range f.hosts {
 				if slices.Contains(hosts, other) {
 					continue
@@ -293,6 +312,7 @@
 }
 
 func (h *host) restartProcess() {
+	h.fleet.checker.excuse(h)
 	if err := h.startProcess(); err != nil {
 		h.fleet.checker.record("START", "", "%s: %v", h.name(), err)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -296,12 +296,21 @@
 	h.mu.Lock()
 	h.instance++
 	h.httpServer, h.draining, h.drainAckedAt = srv, false, time.Time{}
-	h.server.Start(fmt.Sprintf("i-%s-%d", h.name(), h.instance))
+	h.server.Start(h.formatInstance())
 	h.mu.Unlock()
 	h.fleet.running.Go(func() { _ = srv.Serve(l) }) // returns when the server is closed
 	return nil
 }
 
+// formatInstance returns the ID of the current backend server. The caller holds h.mu.
+func (h *host) formatInstance() string { return fmt.Sprintf("i-%s-%d", h.name(), h.instance) }
+
+func (h *host) instanceName() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.formatInstance()
+}
+
 // crashServer closes the listener and all connections of the host's backend server.
 func (h *host) crashServer() {
 	h.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,6 +63,7 @@
 type Options struct {
 	Seed        uint64
 	PlannedWork bool   // add planned stops, drains and configuration versions to the faults
+	Signals     bool   // add backend servers that name limits, or leaving, in their responses
 	Dir         string // directory for settings files
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 
 var (
 	seeds    = flag.Int("soak.seeds", 0, "number of seeds to run instead of the regression cases")
+	signals  = flag.Bool("soak.signals", true, "add backend servers that name limits, or leaving, in their responses")
 	planned  = flag.Bool("soak.planned", true, "add planned operations to the faults of these seeds")
 	first    = flag.Uint64("soak.first", 0, "first of these seeds; 0 derives it from the time")
 	parallel = flag.Int("soak.parallel", 2, "number of concurrent runs")
@@ -28,6 +29,7 @@
 	cause string
 }{
 	{Options{Seed: 1, PlannedWork: true}, "no known failure"},
+	{Options{Seed: 2, PlannedWork: true, Signals: true}, "no known failure"},
 	{Options{Seed: 104}, "a node kept an old configuration while its connection to the store was blackholed"},
 	{Options{Seed: 105}, "restarted nodes that the store rejected took the whole rate limit of each workspace"},
 	{Options{Seed: 206}, "as 104; callers with new keys were refused"},
@@ -56,7 +58,7 @@
 		start = uint64(time.Now().UnixNano())
 	}
 	for n := range *seeds {
-		list = append(list, Options{Seed: start + uint64(n), PlannedWork: *planned})
+		list = append(list, Options{Seed: start + uint64(n), PlannedWork: *planned, Signals: *signals})
 	}
 	slots := make(chan struct{}, *parallel)
 	for _, o := range list {
--- a/internal/standin/sidecarbackend.go
+++ b/internal/standin/sidecarbackend.go
@@ -25,6 +25,8 @@
 	platformTenant     = "X-Tenant"
 	platformOrigin     = "X-Caller-Service"
 	platformInstance   = "X-Expect-Instance"
+	platformLimit      = "Server-Limit"
+	platformLeaving    = "Server-Leaving"
 	platformKey        = "Authorization"
 	platformAuthScheme = "Bearer "
 )
@@ -133,6 +135,8 @@
 	phase     string
 	sequence  int
 	startedAt time.Time
+	rateLimit float64 // requests per second; 0: none
+	leaving   bool
 }
 
 // NewSidecarBackend returns a server that has to be started with Start.
@@ -143,12 +147,41 @@
 	}
 }
 
-// Start sets a new instance ID and the phase "ready", and restarts the numbering of
-// announcements.
+// Start sets a new instance ID and the phase "ready", restarts the numbering of
+// announcements, and ends the rate limit and the leaving of the instance before.
 func (s *SidecarBackend) Start(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instance, s.phase, s.sequence, s.startedAt = instance, "ready", 0, time.Now()
+	s.rateLimit, s.leaving = 0, false
+}
+
+// SetRateLimit makes all responses name a limit in requests per second; 0 means none. The
+// server does not enforce it.
+func (s *SidecarBackend) SetRateLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = perSecond
+}
+
+// Leave makes all responses say that the server leaves. Its announcements go on saying
+// "ready".
+func (s *SidecarBackend) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// setSignals adds what the server says about itself to the headers of a response.
+func (s *SidecarBackend) setSignals(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rateLimit > 0 {
+		h.Set(platformLimit, strconv.FormatFloat(s.rateLimit, 'f', -1, 64))
+	}
+	if s.leaving {
+		h.Set(platformLeaving, "1")
+	}
 }
 
 // Drain makes further announcements report the phase "draining".
@@ -200,6 +233,7 @@
 	s.mu.Unlock()
 	id := r.Header.Get(platformAttemptID)
 	w.Header().Set(platformAttemptID, id)
+	s.setSignals(w.Header())
 	if expected := r.Header.Get(platformInstance); expected != "" && expected != instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
