--- a/admission/controller.go
+++ b/admission/controller.go
@@ -57,31 +57,6 @@
 	NoRateWait bool          // refused instead of queued if the rate limit lets it wait, because another backend server has room
 }
 
-// Outcome is the way in which an admitted request ended.
-type Outcome uint8
-
-// The outcomes of an admitted request.
-const (
-	OK        Outcome = iota // the backend server returned a complete answer
-	Failed                   // the backend server failed, or its answer was incomplete
-	Shed                     // the backend server reported that it did not run the request
-	Cancelled                // the caller disconnected or the deadline passed while the request ran
-	// OnwardRefused means that the request failed because one of its onward calls
-	// was refused for overload, or was answered by a service whose threshold is
-	// above the request's importance.
-	OnwardRefused
-)
-
-var outcomeNames = [...]string{"ok", "failed", "shed", "cancelled", "onward_refused"}
-
-// String returns the name of the outcome in log lines.
-func (o Outcome) String() string {
-	if int(o) < len(outcomeNames) {
-		return outcomeNames[o]
-	}
-	return "unknown"
-}
-
 // Controller limits the concurrent requests to one backend server and queues the
 // excess. It is safe for concurrent use.
 type Controller struct {
@@ -370,35 +345,3 @@
 	c.dispatch(now)
 	c.lowerThresholdIfFree(now)
 }
-
-// errCallerGone is returned if ctx ends before the request is admitted.
-var errCallerGone = refusal.New(refusal.Deadline, "caller left or deadline passed before the request was admitted")
-
-// refuseDeadline records and returns a refusal for the deadline. c.mu must be held.
-func (c *Controller) refuseDeadline(now int64, i config.Importance) *refusal.Refusal {
-	c.refusalRatios[clampImportance(i)].refused++
-	return refusal.New(refusal.Deadline, "deadline cannot be met").WithRetryAfter(c.retryAfter(now))
-}
-
-// refuseOverload records and returns a refusal for overload. c.mu must be held.
-func (c *Controller) refuseOverload(now int64, i config.Importance, cause string) *refusal.Refusal {
-	c.threshold.recordRefusal(now, i, c.recentPeriod())
-	c.refusalRatios[clampImportance(i)].refused++
-	r := &refusal.Refusal{Reason: refusal.Overload, Ran: refusal.RanNo, Message: cause}
-	r.RetryAfter = c.retryAfter(now)
-	return r
-}
-
-// RefusalRatio returns the fraction of recent requests of importance i that were
-// refused, from 0 to 1, as of the latest arrival of such a request.
-func (c *Controller) RefusalRatio(i config.Importance) float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refusalRatios[clampImportance(i)].value()
-}
-
-// retryAfter returns the time in which a full queue is expected to drain. c.mu must be
-// held.
-func (c *Controller) retryAfter(now int64) time.Duration {
-	return max(time.Duration(c.expectedWait(now, c.queueLimit())), minRetryAfter)
-}
--- a/admission/rate.go
+++ b/admission/rate.go
@@ -3,9 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/dotterelseam/dotterelseam/config"
-	"github.com/dotterelseam/dotterelseam/refusal"
 )
 
 const (
@@ -159,21 +156,3 @@
 	}
 	return min(queueWait, deadline-now-c.limiter.serviceTime())
 }
-
-// refuseWaiting returns the refusal of a request that leaves the queue without its turn.
-// If slots are free, only the rate limit has kept it there. c.mu must be held.
-func (c *Controller) refuseWaiting(now int64, i config.Importance, cause string) *refusal.Refusal {
-	if !c.rate.unlimited() && c.inFlight < c.limit(now) {
-		return c.refuseRate(now, c.rate.wait(now, c.queue.length), i)
-	}
-	return c.refuseOverload(now, i, cause)
-}
-
-// refuseRate records and returns the refusal of a request that the rate limit would let
-// through after wait, in nanoseconds. c.mu must be held.
-func (c *Controller) refuseRate(now, wait int64, i config.Importance) *refusal.Refusal {
-	c.threshold.recordRefusal(now, i, c.recentPeriod())
-	r := &refusal.Refusal{Reason: refusal.BackendLimited, Ran: refusal.RanNo, Message: "the rate limit of the backend server is reached"}
-	r.RetryAfter = max(time.Duration(wait), minRetryAfter)
-	return r
-}
--- /dev/null
+++ b/internal/pipeline/stream.go
@@ -0,0 +1,105 @@
+package pipeline
+
+import (
+	"net"
+	"slices"
+	"time"
+)
+
+// stream is one of the connections that the server accepts. The fields besides the
+// pipe are guarded by clientConn.mu.
+type stream struct {
+	net.Conn          // the server's end of a pipe that carries the requests
+	requests net.Conn // the end of the pipe to which requests are written
+	client   *clientConn
+	buffered []byte // part of the answer that waits until earlier answers are written
+	complete bool   // the buffered answer is complete
+	closed   bool
+}
+
+// Write implements net.Conn. The answer of the first outstanding stream goes to the
+// client at once; those of the others are buffered.
+func (s *stream) Write(p []byte) (int, error) {
+	c := s.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.ended && !s.isFirstLocked() && len(s.buffered) > maxBufferedBytes {
+		c.changed.Wait()
+	}
+	switch {
+	case c.ended:
+		return 0, net.ErrClosed
+	case s.isFirstLocked() || len(c.outstanding) == 0:
+		n, err := c.conn.Write(p)
+		if err != nil {
+			c.abortLocked()
+		}
+		return n, err
+	}
+	s.buffered = append(s.buffered, p...)
+	return len(p), nil
+}
+
+// isFirstLocked reports whether s has the oldest unanswered request. clientConn.mu
+// must be held.
+func (s *stream) isFirstLocked() bool {
+	return len(s.client.outstanding) > 0 && s.client.outstanding[0] == s
+}
+
+// Close implements net.Conn. If the stream has an outstanding request, the client's
+// connection ends once that answer is written. If it is idle, the connection ends
+// only if no other stream is open.
+func (s *stream) Close() error {
+	err := s.Conn.Close()
+	s.markClosed()
+	return err
+}
+
+// CloseWrite ends the answer after the bytes written so far; the server can still read
+// the request. net/http calls it before it closes a connection.
+func (s *stream) CloseWrite() error {
+	s.markClosed()
+	return nil
+}
+
+func (s *stream) markClosed() {
+	c := s.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	c.openStreams--
+	c.idle = slices.DeleteFunc(c.idle, func(other *stream) bool { return other == s })
+	switch position := slices.Index(c.outstanding, s); {
+	case position == 0, position < 0 && c.openStreams == 0:
+		c.shutDownLocked()
+	}
+}
+
+// SetWriteDeadline implements net.Conn. It has an effect only on the first
+// outstanding stream, as the others write to a buffer. A deadline set on one of those
+// is dropped and does not apply once that stream becomes the first.
+func (s *stream) SetWriteDeadline(t time.Time) error {
+	s.client.mu.Lock()
+	defer s.client.mu.Unlock()
+	if !s.isFirstLocked() {
+		return nil
+	}
+	return s.client.conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (s *stream) SetDeadline(t time.Time) error {
+	if err := s.Conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return s.SetWriteDeadline(t)
+}
+
+// LocalAddr implements net.Conn.
+func (s *stream) LocalAddr() net.Addr { return s.client.conn.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
+func (s *stream) RemoteAddr() net.Addr { return s.client.conn.RemoteAddr() }
