--- a/internal/loadtest/limit_test.go
+++ b/internal/loadtest/limit_test.go
@@ -115,3 +115,25 @@
 		}
 	})
 }
+
+// Guards against requests that wait at a limited backend server although another one has room at once.
+func TestNoWaitBesideServerWithRoom(t *testing.T) {
+	const servers, limited = 16, 13
+	const namedAt, length = 2, 12 // seconds
+	routes := limitRoutes()
+	for i := range routes {
+		routes[i].Objective = 2 * routes[i].Work
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := New(t, 1, []Service{{"stock", servers, 24}}, routes)
+		defer f.Close()
+		tally := f.Play(length*time.Second, []Stream{{"look", 120}, {"order", 40}}, Change{namedAt * time.Second, func() {
+			for i := range limited {
+				f.SetRateLimit("stock", i, 3)
+			}
+		}})
+		look, order := tally.Sum("look", namedAt+1, length), tally.Sum("order", namedAt+1, length)
+		t.Logf("look %+v, order %+v", look, order)
+		assert.Assert(t, ratio(look.InTime+order.InTime, look.Asked+order.Asked) >= minServed)
+	})
+}
--- a/node/settle.go
+++ b/node/settle.go
@@ -32,7 +32,7 @@
 	result := balancer.Result{Latency: latency, Outcome: f.outcome, Unreachable: f.unreachable, BackendFailed: f.result.ShedByBackend, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
 	if f.resultReceived {
 		result.Threshold = knownThreshold(&f.result.Threshold)
-		c.node.reports.record(pick.Endpoint().Node, &f.result)
+		c.node.reports.record(pick.Endpoint().Node, &f.result, c.node.now())
 	}
 	c.budget.Return(f.result.AttemptsUnused)
 	c.recordOnwardThreshold(result.Threshold)
@@ -73,7 +73,7 @@
 		if !res.resultLost {
 			result.Threshold = knownThreshold(&res.result.Threshold)
 			result.Draining = res.result.Draining
-			c.node.reports.record(res.pick.Endpoint().Node, &res.result)
+			c.node.reports.record(res.pick.Endpoint().Node, &res.result, c.node.now())
 			c.recordOnwardThreshold(result.Threshold)
 			c.recordResult(&res.result, nil)
 		}
--- a/node/signals.go
+++ b/node/signals.go
@@ -49,27 +49,49 @@
 	}
 }
 
+// backendReportLifetime bounds the memory for reports of hosts that are gone. A host in
+// use reports with each result.
+const backendReportLifetime = time.Hour
+
 // backendReports holds the latest report of the backend server on each host, by node ID.
 // It is safe for concurrent use.
 type backendReports struct{ byNode sync.Map }
 
+// receivedReport is a value of backendReports.
+type receivedReport struct {
+	*peer.BackendReport
+	at time.Time
+}
+
 // get returns the latest report, or nil if there is none.
 func (b *backendReports) get(node string) *peer.BackendReport {
 	v, ok := b.byNode.Load(node)
 	if !ok {
 		return nil
 	}
-	return v.(*peer.BackendReport)
+	return v.(receivedReport).BackendReport
 }
 
 // record keeps the report of a result. A result of a node without a backend server says
 // nothing about it.
-func (b *backendReports) record(node string, result *peer.HopResult) {
-	switch {
-	case result.Threshold.Limit == 0:
-	case result.Backend != nil:
-		b.byNode.Store(node, result.Backend)
-	default:
+func (b *backendReports) record(node string, result *peer.HopResult, now time.Time) {
+	if result.Threshold.Limit == 0 {
+		return
+	}
+	if result.Backend == nil {
 		b.byNode.Delete(node)
+		return
+	}
+	if _, known := b.byNode.Swap(node, receivedReport{result.Backend, now}); !known {
+		b.removeExpired(now)
 	}
 }
+
+func (b *backendReports) removeExpired(now time.Time) {
+	b.byNode.Range(func(node, v any) bool {
+		if now.Sub(v.(receivedReport).at) > backendReportLifetime {
+			b.byNode.Delete(node)
+		}
+		return true
+	})
+}
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -156,3 +156,18 @@
 	assert.Equal(t, len(s.received), 1)
 	assert.Assert(t, entry.node.reports.get("b").Leaving)
 }
+
+// Guards against reports of hosts that are gone and fill the memory.
+func TestReportsExpire(t *testing.T) {
+	var reports backendReports
+	now := time.Now()
+	result := &peer.HopResult{Threshold: peer.Threshold{Limit: 1}, Backend: &peer.BackendReport{Leaving: true}}
+	reports.record("gone", result, now)
+	now = now.Add(backendReportLifetime / 2)
+	reports.record("in use", result, now)
+	assert.Assert(t, reports.get("gone") != nil)
+	now = now.Add(backendReportLifetime/2 + time.Second)
+	reports.record("new", result, now)
+	assert.Assert(t, reports.get("gone") == nil)
+	assert.Assert(t, reports.get("in use") != nil && reports.get("new") != nil)
+}
