balancer, node: back off from endpoints that refuse for a rate limit

Cause: 16 entry nodes share each limit. An entry node took an endpoint for free as soon as the wait that it had heard of was over, also if the other nodes had used the limit up; such a request was refused at one limited server after the other until its tries were used up. An entry node that had not heard of a limit also let its request wait there. Change: exponential backoff for each endpoint after refusals for its limit; every hop says whether another server has room. Ruled out: a share for each sender (idle shares waste what others need).

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -21,6 +21,8 @@
 	// maxSamples random endpoints are tried, and a tier counts as full if none of them
 	// has headroom. This keeps Pick below 1 us at 1,100 endpoints.
 	maxSamples = 8
+	// maxRoomScan is the number of endpoints that HasRoom looks at.
+	maxRoomScan = 64
 	// refusedTTL is how long it is remembered that all endpoints refuse an importance,
 	// in nanoseconds.
 	refusedTTL = int64(5 * time.Millisecond)
@@ -111,6 +113,7 @@
 	Draining      bool            // the endpoint reported that it is draining
 	Unreachable   bool            // no connection was made, or the address belongs to another node
 	BackendFailed bool            // the backend server itself failed or refused the call
+	RateLimited   bool            // refused because the rate limit of the backend server is reached
 }
 
 // Pick chooses an endpoint. The error is a *refusal.Refusal with Ran set to RanNo; its
@@ -250,12 +253,15 @@
 	return false
 }
 
-// HasRoom reports whether any usable endpoint outside info.Exclude admits the call and is
-// not known to be full.
-func (b *Balancer) HasRoom(info PickInfo) bool {
-	now := b.now()
-	for _, s := range b.table.Load().all {
-		if s.eligibility(now, &info) == hasHeadroom {
+// HasRoom reports whether a usable endpoint outside info.Exclude, on another node than
+// except, admits the call and is not known to be full. In long lists it may miss one.
+func (b *Balancer) HasRoom(info PickInfo, except string) bool {
+	now, list := b.now(), b.table.Load().all
+	q := selection{random: b.cfg.Rand()}
+	start := q.intn(max(len(list), 1))
+	for i := range min(len(list), maxRoomScan) {
+		s := list[(start+i)%len(list)]
+		if s.endpoint.Load().Node != except && s.eligibility(now, &info) == hasHeadroom {
 			return true
 		}
 	}
@@ -274,6 +280,9 @@
 	if r.Draining {
 		p.s.drainingUntil.Store(now + int64(drainingTTL))
 	}
+	if r.RateLimited {
+		p.s.rateBackoff.refused(now, p.b.cfg.Rand())
+	}
 	switch {
 	case r.Outcome == Failed || r.BackendFailed:
 		p.s.failureRatio.add(1)
@@ -285,6 +294,7 @@
 		p.s.latency.add(now, r.Latency)
 		p.b.latency.add(now, r.Latency)
 		p.s.resetFailures()
+		p.s.rateBackoff.succeeded()
 	case Cancelled:
 		p.s.latency.addLowerBound(now, r.Latency)
 	case Failed:
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -37,6 +37,7 @@
 	latency              latencyAverage
 	failureRatio         movingRatio
 	threshold            thresholdReport
+	rateBackoff          rateBackoff
 }
 
 // eligibility ranks an endpoint for a call.
@@ -71,9 +72,10 @@
 
 // saturated reports whether this node's own calls fill the slots of the endpoint, or
 // whether the endpoint has recently reported that it is full or that its rate limit lets
-// no request through yet.
+// no request through yet, or has refused calls for that.
 func (s *endpointState) saturated(e *Endpoint, now int64) bool {
-	return float64(s.inFlight.Load()) >= s.slots(e, now) || s.threshold.full(now) || s.threshold.rateWait(now) > 0
+	return float64(s.inFlight.Load()) >= s.slots(e, now) || s.threshold.full(now) ||
+		s.threshold.rateWait(now) > 0 || s.rateBackoff.active(now)
 }
 
 // slots returns the number of slots, reduced during a cold start, at least 1.
--- a/internal/loadtest/limit_test.go
+++ b/internal/loadtest/limit_test.go
@@ -116,7 +116,7 @@
 	})
 }
 
-// Guards against requests that wait at a limited backend server although another one has room at once.
+// Guards against requests that wait at limited backend servers, or that all of these refuse, although others have room at once.
 func TestNoWaitBesideServerWithRoom(t *testing.T) {
 	const servers, limited = 16, 13
 	const namedAt, length = 2, 12 // seconds
@@ -135,5 +135,6 @@
 		look, order := tally.Sum("look", namedAt+1, length), tally.Sum("order", namedAt+1, length)
 		t.Logf("look %+v, order %+v", look, order)
 		assert.Assert(t, ratio(look.InTime+order.InTime, look.Asked+order.Asked) >= minServed)
+		assert.Equal(t, look.Refused+order.Refused, 0)
 	})
 }
--- a/node/call.go
+++ b/node/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/dotterelseam/dotterelseam/attempt"
@@ -172,13 +171,6 @@
 	return balancer.PickInfo{Exclude: c.excludedNodes, Importance: c.info.Importance, Admitted: c.admitted}
 }
 
-// pickInfoWithout is pickInfo for an endpoint on another node than the given one.
-func (c *call) pickInfoWithout(node string) balancer.PickInfo {
-	info := c.pickInfo()
-	info.Exclude = append(slices.Clone(info.Exclude), node)
-	return info
-}
-
 // send makes one try at the endpoint e, on this node or by a hop to another one.
 func (c *call) send(ctx context.Context, e balancer.Endpoint, attempts int, now time.Time) (*response, *failure) {
 	left := c.info.Deadline.Sub(now)
@@ -191,7 +183,7 @@
 		hop.Version, hop.SenderAddress = c.node.version(), c.node.cfg.PeerAddress
 	}
 	hop.Backend = c.node.reports.get(e.Node)
-	hop.NoRateWait = hop.Backend != nil && c.dest.balancer.HasRoom(c.pickInfoWithout(e.Node))
+	hop.NoRateWait = c.dest.balancer.HasRoom(c.pickInfo(), e.Node)
 	hop.MaxQueueWaitMicros = c.maxQueueWait().Microseconds()
 	if e.Node == c.node.cfg.ID {
 		return c.node.deliver(ctx, hop, c.req)
@@ -273,7 +265,7 @@
 	wait, ok := c.dest.retries.Allow(retry.Try{
 		Number: c.tries, Importance: c.info.Importance, Reason: r.Reason, Ran: r.Ran, Idempotent: c.route.Idempotent, RetriedOnward: retried,
 		BodyReplayable: c.req.body.replayable(), OtherEndpointAdmits: c.dest.balancer.Admits(c.pickInfo()),
-		OtherEndpointHasRoom: r.Reason == refusal.BackendLimited && c.dest.balancer.HasRoom(c.pickInfo()),
+		OtherEndpointHasRoom: r.Reason == refusal.BackendLimited && c.dest.balancer.HasRoom(c.pickInfo(), ""),
 		BackendNotReached:    c.backendNotReached, RetryAfter: r.RetryAfter, AttemptsLeft: c.budget.Left(), Deadline: c.info.Deadline,
 	})
 	if !ok {
--- a/node/settle.go
+++ b/node/settle.go
@@ -29,7 +29,10 @@
 // settleFailure reports a failed try to the balancer and returns its unused attempts
 // to the budget.
 func (c *call) settleFailure(pick balancer.Pick, f *failure, latency time.Duration) {
-	result := balancer.Result{Latency: latency, Outcome: f.outcome, Unreachable: f.unreachable, BackendFailed: f.result.ShedByBackend, Draining: f.result.Draining || f.refusal.Reason == refusal.Draining}
+	result := balancer.Result{
+		Latency: latency, Outcome: f.outcome, Unreachable: f.unreachable, BackendFailed: f.result.ShedByBackend,
+		Draining: f.result.Draining || f.refusal.Reason == refusal.Draining, RateLimited: f.refusal.Reason == refusal.BackendLimited,
+	}
 	if f.resultReceived {
 		result.Threshold = knownThreshold(&f.result.Threshold)
 		c.node.reports.record(pick.Endpoint().Node, &f.result, c.node.now())
