balancer: begin the backoff after refusals for a rate limit at half a second

With 95 entry nodes each one picks a given endpoint about once in seconds, so a backoff of 50 ms was over before the next pick and never grew. Change: 0.5 to 10 s. An endpoint in backoff is still used when all others are full.

--- a/balancer/ratebackoff.go
+++ b/balancer/ratebackoff.go
@@ -9,8 +9,8 @@
 // Bounds of the time for which an endpoint is avoided that has refused a call because the
 // rate limit of its backend server was reached, in nanoseconds.
 const (
-	minRateBackoff = int64(50 * time.Millisecond)
-	maxRateBackoff = int64(4 * time.Second)
+	minRateBackoff = int64(500 * time.Millisecond)
+	maxRateBackoff = int64(10 * time.Second)
 )
 
 // rateBackoff is an exponential backoff after refusals for a rate limit, which all nodes
