process: signals during the start of a daemon no longer end it

What operators saw: a node whose settings file changed (SIGHUP) just after its start was gone, with no line about it; the platform restarted it. Cause: signals were handled only from Run on, after the settings had been read and the listeners opened. Until then a SIGHUP ends a process by default, and a SIGTERM ends it without a planned stop. Change: a daemon catches its signals first; Run takes them from there. Not covered: the few milliseconds in which the runtime starts, before any code of ours runs.

--- a/cmd/dotterelnode/main.go
+++ b/cmd/dotterelnode/main.go
@@ -18,6 +18,7 @@
 )
 
 func main() {
+	signals := process.CatchSignals()
 	path := flag.String("settings", "", "path of the YAML settings `file`")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 {
@@ -29,10 +30,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(process.ExitSettings)
 	}
-	os.Exit(run(s))
+	os.Exit(run(s, signals))
 }
 
-func run(s *settings.Settings) int {
+func run(s *settings.Settings, signals *process.Signals) int {
 	logWriter := logging.NewWriter(os.Stderr)
 	defer logWriter.Close(process.LogFlushTimeout)
 	log := logging.New(logWriter, s.LogLevel)
@@ -41,5 +42,5 @@
 		log.Error(err, "start_failed")
 		return process.ExitFailed
 	}
-	return process.Run(d, log, s.StopLimit, func() { log.Info("settings_not_reloaded") })
+	return process.Run(d, signals, log, s.StopLimit, func() { log.Info("settings_not_reloaded") })
 }
--- a/cmd/dotterelsidecar/main.go
+++ b/cmd/dotterelsidecar/main.go
@@ -25,6 +25,7 @@
 const settingsEnv = "DOTTERELSEAM_SETTINGS"
 
 func main() {
+	signals := process.CatchSignals()
 	path := flag.String("settings", os.Getenv(settingsEnv), "path of the YAML settings `file`")
 	flag.Parse()
 	if *path == "" || flag.NArg() > 0 {
@@ -36,10 +37,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(process.ExitSettings)
 	}
-	os.Exit(run(s, *path))
+	os.Exit(run(s, *path, signals))
 }
 
-func run(s *settings.Sidecar, path string) int {
+func run(s *settings.Sidecar, path string, signals *process.Signals) int {
 	logWriter := logging.NewWriter(os.Stdout)
 	defer logWriter.Close(process.LogFlushTimeout)
 	log := logging.New(logWriter, s.LogLevel)
@@ -48,7 +49,7 @@
 		log.Error(err, "start_failed")
 		return process.ExitFailed
 	}
-	return process.Run(d, log, d.StopLimit(), func() { checkSettings(log, path) })
+	return process.Run(d, signals, log, d.StopLimit(), func() { checkSettings(log, path) })
 }
 
 // checkSettings logs whether the present content of the settings file is valid.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -36,27 +36,34 @@
 	Stop(ctx context.Context) error
 }
 
+// Signals holds the signals that a process has received.
+type Signals struct{ stop, hangUp chan os.Signal }
+
+// CatchSignals keeps SIGTERM, SIGINT and SIGHUP from ending the process, and records them
+// for Run. A daemon calls it first, so that a signal during its start is not lost.
+func CatchSignals() *Signals {
+	s := &Signals{stop: make(chan os.Signal, 1), hangUp: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.hangUp, syscall.SIGHUP)
+	return s
+}
+
+func (s *Signals) release() {
+	signal.Stop(s.stop)
+	signal.Stop(s.hangUp)
+}
+
 // Run runs d until SIGTERM or SIGINT, performs the planned stop within stopLimit and
 // returns the exit code. An error of Stop other than node.ErrStopLimit does not
 // change the exit code. Run calls reload at each SIGHUP, one call at a time; signals that
 // arrive during a call are combined into one. A reload does not delay a stop.
-func Run(d Daemon, log logr.Logger, stopLimit time.Duration, reload func()) int {
-	return run(d, log, stopLimit, reload, func() {})
-}
-
-// run implements Run. It calls ready when signals are handled.
-func run(d Daemon, log logr.Logger, stopLimit time.Duration, reload, ready func()) int {
-	stop, hangUp := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(stop)
-	defer signal.Stop(hangUp)
+func Run(d Daemon, signals *Signals, log logr.Logger, stopLimit time.Duration, reload func()) int {
+	defer signals.release()
 	ended := make(chan struct{})
 	defer close(ended)
-	go reloadOnSignal(hangUp, ended, reload)
-	ready()
+	go reloadOnSignal(signals.hangUp, ended, reload)
 	stopped := make(chan error, 1)
-	go func() { stopped <- stopOnSignal(d, stop, stopLimit) }()
+	go func() { stopped <- stopOnSignal(d, signals.stop, stopLimit) }()
 	if err := d.Run(context.Background()); err != nil {
 		log.Error(err, "run_failed")
 		return ExitFailed
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -33,11 +33,10 @@
 	reloading, release := make(chan struct{}, 10), make(chan struct{})
 	defer close(release)
 	code := make(chan int, 1)
-	ready := make(chan struct{})
+	signals := CatchSignals()
 	go func() {
-		code <- run(d, logr.Discard(), waitLimit, func() { reloading <- struct{}{}; <-release }, func() { close(ready) })
+		code <- Run(d, signals, logr.Discard(), waitLimit, func() { reloading <- struct{}{}; <-release })
 	}()
-	<-ready
 	signal := func(s syscall.Signal) { assert.NilError(t, syscall.Kill(os.Getpid(), s)) }
 	signal(syscall.SIGHUP)
 	<-reloading // the first reload blocks; the next one waits in the queue
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,7 @@
 }{
 	{Options{Seed: 1, PlannedWork: true}, "no known failure"},
 	{Options{Seed: 2, PlannedWork: true, Signals: true}, "no known failure"},
+	{Options{Seed: 1796436393158242033, PlannedWork: true, Signals: true}, "a SIGHUP ended a process that was starting"},
 	{Options{Seed: 104}, "a node kept an old configuration while its connection to the store was blackholed"},
 	{Options{Seed: 105}, "restarted nodes that the store rejected took the whole rate limit of each workspace"},
 	{Options{Seed: 206}, "as 104; callers with new keys were refused"},
