--- a/admission/rate_test.go
+++ b/admission/rate_test.go
@@ -20,8 +20,7 @@
 	return c
 }
 
-// Guards against more requests than the rate limit allows in any span of time, and
-// against requests that wait although it allows them.
+// Guards against more requests than the rate limit allows in any span of time, and against requests that wait although it allows them.
 func TestRateLimitHolds(t *testing.T) {
 	for _, perSecond := range []float64{0.1, 1, 7.5, 50} {
 		runWithFakeTime(t, func(t *testing.T) {
@@ -49,8 +48,7 @@
 	}
 }
 
-// Guards against a pause that is followed by more requests at once than a quarter of a
-// second of the rate.
+// Guards against a pause that is followed by more requests at once than a quarter of a second of the rate.
 func TestRateLimitBurst(t *testing.T) {
 	runWithFakeTime(t, func(t *testing.T) {
 		c := limited(40)
@@ -63,8 +61,7 @@
 	})
 }
 
-// Guards against answers that overtake each other: one to a request that was sent before
-// the limit was known must not lift it.
+// Guards against answers that overtake each other: one to a request that was sent before the limit was known must not lift it.
 func TestRateLimitOfOvertakenAnswers(t *testing.T) {
 	runWithFakeTime(t, func(t *testing.T) {
 		c := New(Config{Slots: 1})
@@ -84,8 +81,7 @@
 	})
 }
 
-// Guards against another node's outdated report that replaces what the backend server
-// has told this node.
+// Guards against another node's outdated report that replaces what the backend server has told this node.
 func TestLearnedRateLimit(t *testing.T) {
 	runWithFakeTime(t, func(t *testing.T) {
 		c := New(Config{Slots: 1})
@@ -118,8 +114,7 @@
 	}
 }
 
-// Guards against refusals for the rate limit that look like overload: entry nodes would
-// not try the backend servers that have room.
+// Guards against refusals for the rate limit that look like overload: entry nodes would not try the backend servers that have room.
 func TestRateLimitRefusals(t *testing.T) {
 	for name, tc := range map[string]struct {
 		queued  int
--- a/balancer/ratebackoff_test.go
+++ b/balancer/ratebackoff_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against nodes that go on sending calls to an endpoint whose rate limit other
-// nodes use up, and against endpoints that are avoided for good.
+// Guards against nodes that go on sending calls to an endpoint whose rate limit other nodes use up, and against endpoints that are avoided for good.
 func TestRateBackoff(t *testing.T) {
 	var b rateBackoff
 	now := int64(1)
@@ -24,8 +23,7 @@
 	assert.Assert(t, !b.active(now+minRateBackoff))
 }
 
-// Guards against limited endpoints that get calls while another one has headroom, and
-// against calls without an endpoint if all have refused for their rate limits.
+// Guards against limited endpoints that get calls while another one has headroom, and against calls without an endpoint if all have refused for their rate limits.
 func TestPickAvoidsRateLimited(t *testing.T) {
 	b, _, endpoints := newTestBalancer()
 	unlimited := endpoints[0].Node
--- a/internal/loadtest/limit_test.go
+++ b/internal/loadtest/limit_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// Guards against backend servers that get more requests than the limit they name, and
-// against callers that are refused although another server has room.
+// Guards against backend servers that get more requests than the limit they name, and against callers that are refused although another server has room.
 func TestNamedLimits(t *testing.T) {
 	const namedAt, length = 2, 16 // seconds
 	for name, tc := range map[string]struct {
@@ -78,8 +77,7 @@
 	}
 }
 
-// Guards against a limit that outlasts its naming: with all servers limited to half of
-// the demand, nothing may be refused any more three seconds after they name no limit.
+// Guards against a limit that outlasts its naming: with all servers limited to half of the demand, nothing may be refused any more three seconds after they name no limit.
 func TestLimitEnds(t *testing.T) {
 	const endsAt, length = 6, 14 // seconds
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -207,7 +207,7 @@
 	srv := h.httpServer
 	h.httpServer = nil
 	h.mu.Unlock()
-	_ = srv.Close()
+	_ = srv.Close() // the connections are gone in any case
 }
 
 // drainServer announces the drain of the backend server, keeps it serving for the
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -54,8 +54,7 @@
 	assert.Assert(t, !o.refusedRecently(withTimeOfDay(now.Add(onwardRefusalWindow+time.Millisecond), -60)))
 }
 
-// Guards against a backend server whose announcements were late and that gets more
-// requests than the limit it has named, or than it has slots, once they arrive again.
+// Guards against a backend server whose announcements were late and that gets more requests than the limit it has named, or than it has slots, once they arrive again.
 func TestExpiredBackendKeepsLimits(t *testing.T) {
 	for name, tc := range map[string]struct {
 		started int64
@@ -83,9 +82,7 @@
 	}
 }
 
-// Guards against a backend server that has been withdrawn and is in use again after a
-// late announcement: also if the node did not know it any more at the withdrawal, because
-// its announcements were late or the node had been restarted.
+// Guards against a backend server that has been withdrawn and is in use again after a late announcement: also if the node did not know it any more at the withdrawal, because its announcements were late or the node had been restarted.
 func TestWithdrawnBackendStaysAway(t *testing.T) {
 	a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1", Started: 7, Sequence: 1}
 	now := time.Now()
--- a/node/signals_test.go
+++ b/node/signals_test.go
@@ -51,8 +51,7 @@
 	return a
 }
 
-// Guards against a node that forgets, when it is restarted, the limit that its backend
-// server has named, and against a server that inherits the limit of another start.
+// Guards against a node that forgets, when it is restarted, the limit that its backend server has named, and against a server that inherits the limit of another start.
 func TestRestartedNodeLearnsLimit(t *testing.T) {
 	for name, tc := range map[string]struct {
 		started int64
@@ -90,9 +89,7 @@
 	}
 }
 
-// Guards against new requests to a backend server that says only in its responses that it
-// leaves: while its announcements say serving, after they were late, and after a restart
-// of the node beside it.
+// Guards against new requests to a backend server that says only in its responses that it leaves: while its announcements say serving, after they were late, and after a restart of the node beside it.
 func TestLeavingNamedInResponses(t *testing.T) {
 	again := func(_ *fleet, h *host, a *edge.Announcement) *host { return h }
 	for name, tc := range map[string]struct {
@@ -142,8 +139,7 @@
 	}
 }
 
-// Guards against a report about a backend server that is deleted when its node refuses a
-// request: a node that is restarted next would not learn that its server leaves.
+// Guards against a report about a backend server that is deleted when its node refuses a request: a node that is restarted next would not learn that its server leaves.
 func TestReportSurvivesRefusal(t *testing.T) {
 	f := newFleet(t, "stock")
 	entry, h := f.startHost("a", "", standin.BackendBehaviour{}), f.startHost("b", "", standin.BackendBehaviour{})
