--- a/review/reviewcase/main.go
+++ b/review/reviewcase/main.go
@@ -23,6 +23,7 @@
 type play func(f *stage.Fleet, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
+	"gone":     playGone,
 	"leaving":  playLeaving,
 	"memory":   playMemory,
 	"quota":    playQuota,
