--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/dotterelsidecar ] && [ -x target/review/reviewcase ] || { echo "not built" >&2; exit 2; }
-exec target/review/reviewcase gone review/5/record.txt
+exec target/review/reviewcase leaving review/5/record.txt
--- a/review/reviewcase/main.go
+++ b/review/reviewcase/main.go
@@ -27,6 +27,7 @@
 	"leaving":  playLeaving,
 	"memory":   playMemory,
 	"quota":    playQuota,
+	"revoked":  playRevoked,
 	"stopping": playStopping,
 }
 
