--- a/review/reviewcase/quota.go
+++ b/review/reviewcase/quota.go
@@ -26,7 +26,7 @@
 	quotePatience = 2 * time.Second
 	quoteWork     = 10 * time.Millisecond
 	quotaHosts    = 10
-	quotaAdded    = 3 // 0.3 of the servers
+	quotaAdded    = 6 // twice 0.3 of the first servers
 	quotaSilent   = 3 // at most 0.35 of the machines
 
 	tenantRate    = 400.0 // requests per second
