node: an answer without a length is complete only if its connection did not break

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the upload gets the error, the next read returns the end of the stream, which is how an answer without a length ends. The same holds for any other error of the connection, such as a timeout. Class: the end of a stream was taken for the end of an answer without asking how the connection ended.

Ruled out: framed answers. net/http reports their early end itself.

Change: a connection to another node or to a backend server remembers the first write that failed. At the end of the stream, a write in progress is ended, and if a write broke the connection, the read fails too. EPIPE alone is no break: the server had ended its side before, so the answer is whole. Ending the write costs nothing: the connection of an unfinished upload is closed after its answer anyway.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -8,9 +8,13 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/dotterelseam/dotterelseam/edge"
 )
 
@@ -41,6 +45,9 @@
 
 var errResponseHeader = errors.New("the headers of the answer are too long")
 
+// errConnBroken is the class of errors of a connection that broke during a write.
+var errConnBroken = errs.Class("the connection broke")
+
 // outboundRequest is a request that this node sends to another node or to a backend
 // server.
 type outboundRequest struct {
@@ -223,6 +230,9 @@
 	sent            bool  // a byte of the current request may have been handed to the kernel
 	raw             syscall.RawConn
 	noPendingData   bool // result of peek
+
+	writeMu  sync.Mutex // held during a write; guards writeErr
+	writeErr error      // of the first write that failed
 }
 
 const noHeaderLimit = int64(1) << 62
@@ -231,10 +241,17 @@
 // if sent is false.
 func (c *pooledConn) Write(p []byte) (int, error) {
 	c.sent = true
-	return c.Conn.Write(p)
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only if the peer has ended its side in
+// order: a response without a length is then complete.
 func (c *pooledConn) Read(p []byte) (int, error) {
 	if c.headerBytesLeft <= 0 {
 		return 0, errResponseHeader
@@ -243,8 +260,29 @@
 	if c.headerBytesLeft != noHeaderLimit {
 		c.headerBytesLeft -= int64(n)
 	}
+	if errors.Is(err, io.EOF) {
+		if broken := c.endWrites(); broken != nil {
+			err = errConnBroken.Wrap(broken)
+		}
+	}
 	return n, err
 }
 
+// endWrites interrupts a write in progress, after which all writes fail, and returns the
+// error with which the connection broke, or nil. The kernel reports a broken connection
+// once, to a read or to a write, and from then on every read returns io.EOF.
+func (c *pooledConn) endWrites() error {
+	_ = c.Conn.SetWriteDeadline(time.Now()) // an error means that the connection is closed, which ends the write too
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	switch {
+	case errors.Is(c.writeErr, os.ErrDeadlineExceeded): // writes have no other deadline
+		return nil
+	case errors.Is(c.writeErr, syscall.EPIPE): // the peer had ended its side before it reset the connection
+		return nil
+	}
+	return c.writeErr
+}
+
 // interrupt makes pending and later reads and writes fail at once.
 func (c *pooledConn) interrupt() { _ = c.Conn.Close() }
