node: an answer whose status does not exist is no answer

Callers saw (reported for systems of this kind): a server in trouble sent an answer whose status was 000, and the client got it as an answer.

Here: a 000 alone got 502 already. But every status below 200 counted as an interim answer and was skipped, 000 too, so that the bytes behind it, its body even, were taken for the final answer and passed on with 200. A status of 600 to 999 was passed on as it was.

Cause: net/http accepts any three characters that strconv.Atoi takes for a number that is not negative (000, +20, -00, 999), and the exchange compared only with 200. Class: the head of an answer is believed as far as net/http can make sense of it.

Change: the header of a response is checked in the read buffer before net/http parses it. The version has to be HTTP/1.x, the status 100 to 599, which are those that have a meaning. Anything else gets 502 and its connection is closed. A header longer than the buffer of 4 KB gets a larger one until the connection is released.

--- /dev/null
+++ b/internal/sidecar/heads_test.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// sendText returns a handler that sends text and closes the connection. ID stands for the
+// ID of the request in it.
+func sendText(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("X-Attempt-Id")))
+	}
+}
+
+// assertBroken checks, on the same host and across one hop, that a request whose server
+// sends each of the given texts runs once and gets 502.
+func assertBroken(t *testing.T, texts map[string]string) {
+	f := newFleet(t)
+	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	shop.awaitServing("read.example")
+	entry.awaitServing("read.example")
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			shop.setResponse(sendText(text))
+			for _, h := range []*host{shop, entry} {
+				before := len(shop.requests())
+				a := h.call("POST", "order.example", "k1")
+				assert.Check(t, a.status == http.StatusBadGateway, "status %d, header %v, body %q", a.status, a.header, a.body)
+				assert.Check(t, a.header.Get("X-Server-Seal") == "")
+				assert.Equal(t, len(shop.requests())-before, 1)
+			}
+		})
+	}
+}
+
+// sealedFields are the header fields of an answer that the platform's protocol accepts.
+const sealedFields = "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n"
+
+// Guards against an answer with a status that does not exist, which reaches a caller as an
+// answer or is skipped like an interim answer, so that the bytes behind it count as the answer.
+func TestInvalidStatus(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\n" + sealedFields + "Content-Length: 5\r\n\r\nwrong"
+	texts := map[string]string{}
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "600", "700", "999"} {
+		head := "HTTP/1.1 " + status + " Status\r\n" + sealedFields
+		texts[status] = head + "Content-Length: 5\r\n\r\nwrong"
+		texts[status+" without a body"] = head + "\r\n"
+		texts[status+" before an answer"] = head + "\r\n" + answer
+	}
+	texts["000 with an answer as its body"] = "HTTP/1.1 000 Status\r\nContent-Length: 95\r\n\r\n" + answer
+	assertBroken(t, texts)
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -125,6 +125,9 @@
 func (x *exchange) receive(method string) (*http.Response, error) {
 	for range maxInformationalResponses {
 		x.conn.headerBytesLeft = maxResponseHeaderBytes
+		if err := x.conn.awaitHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/node/pool.go
+++ b/node/pool.go
@@ -112,6 +112,7 @@
 // release returns the connection to the pool for another exchange.
 func (c *pooledConn) release() {
 	p := c.pool
+	c.shrinkBuffer()
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle[c.address]) < p.maxIdle
