node: an answer with a malformed field line is no answer

Callers saw (reported for systems of this kind): a server in trouble sent an answer in whose head the name of a field held a blank or a control byte, and the client got it with that line passed on or with a body that was not the server's.

Control bytes and separators in names, lines without a colon and control bytes in values were rejected already.

Cause: net/http keeps a name with a blank as an unknown field, so that a length or an encoding has no effect, and joins a line that begins with a blank to the one before. Class as for the status: net/http repairs what it reads.

Change: the check of the header in the read buffer covers each line of it, in interim answers too. A name has to be a token, a value to be free of control characters, a field to be on one line (RFC 9112, section 5.2, lets a gateway reject folded lines). Package internal/headerfield holds the two rules; package pipeline uses the one of values for the requests of callers, as before.

After: all 46 pass.

--- a/internal/pipeline/header.go
+++ b/internal/pipeline/header.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"github.com/dotterelseam/dotterelseam/internal/headerfield"
 )
 
 // readHeader reads the header of one request, with the request line. exclusive
@@ -47,7 +49,7 @@
 			break // the end of the header
 		}
 		name, value, found := bytes.Cut(field, []byte(":"))
-		if !found || !isToken(name) || hasControl(value) {
+		if !found || !isToken(name) || !headerfield.IsValue(value) {
 			return false
 		}
 		value = bytes.Trim(value, " \t")
@@ -106,14 +108,4 @@
 	return true
 }
 
-// hasControl reports whether a field value contains a control character other than a tab.
-func hasControl(value []byte) bool {
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return true
-		}
-	}
-	return false
-}
-
 func trimCR(line []byte) []byte { return bytes.TrimSuffix(line, []byte("\r")) }
--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -61,3 +61,39 @@
 	texts["000 with an answer as its body"] = "HTTP/1.1 000 Status\r\nContent-Length: 95\r\n\r\n" + answer
 	assertBroken(t, texts)
 }
+
+// badFields are lines of a header or a trailer section that are no fields.
+var badFields = map[string]string{
+	"blank before the colon":      "X-Field : 1",
+	"tab before the colon":        "X-Field\t: 1",
+	"blank in the name":           "X Field: 1",
+	"blank before the name":       " X-Field: 1",
+	"tab before the name":         "\tX-Field: 1",
+	"NUL in the name":             "X-Fi\x00eld: 1",
+	"control byte in the name":    "X-Fi\x01eld: 1",
+	"carriage return in the name": "X-Fi\reld: 1",
+	"DEL in the name":             "X-Fi\x7feld: 1",
+	"separator in the name":       "X(Field): 1",
+	"no name":                     ": 1",
+	"no colon":                    "X-Field",
+	"NUL in the value":            "X-Field: 1\x002",
+	"carriage return in a value":  "X-Field: 1\r2",
+}
+
+// Guards against an answer with a field name that is not valid, which reaches a caller with
+// that line, or with a body that is not the server's because the line says where it ends.
+func TestInvalidFieldInHead(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n"
+	texts := map[string]string{
+		"length with a blank":   start + sealedFields + "Content-Length : 4\r\n\r\nbodybehind",
+		"encoding with a blank": start + sealedFields + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"coding with a blank":   start + sealedFields + "Content-Encoding : gzip\r\nContent-Length: 4\r\n\r\nbody",
+		"folded seal":           start + "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n Content-Length: 4\r\n\r\nbodybehind",
+	}
+	for name, field := range badFields {
+		texts[name] = start + sealedFields + field + "\r\nContent-Length: 4\r\n\r\nbody"
+		texts[name+", first"] = start + field + "\r\n" + sealedFields + "Content-Length: 4\r\n\r\nbody"
+		texts[name+", interim answer"] = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + start + sealedFields + "Content-Length: 4\r\n\r\nbody"
+	}
+	assertBroken(t, texts)
+}
--- a/node/responsehead.go
+++ b/node/responsehead.go
@@ -7,12 +7,18 @@
 	"io"
 
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelseam/dotterelseam/internal/headerfield"
 )
 
 // errMalformedHead is the class of errors of the header of a response that is not valid
 // HTTP/1.x. net/http accepts some of them and guesses what they mean.
 var errMalformedHead = errs.Class("the answer is not valid HTTP")
 
+const maxQuotedBytes = 64 // of a response in an error
+
+func shortened(b []byte) []byte { return b[:min(len(b), maxQuotedBytes)] }
+
 // headScanner checks the lines of a response's header while they arrive.
 type headScanner struct {
 	scanned   int  // bytes that have been searched for the end of a line
@@ -38,6 +44,8 @@
 			err = checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
+		default:
+			err = checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -50,11 +58,27 @@
 func checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	if minor, ok := bytes.CutPrefix(version, []byte("HTTP/1.")); !ok || len(minor) != 1 || !isDigit(minor[0]) {
-		return errMalformedHead.New("version %q", version)
+		return errMalformedHead.New("version %q", shortened(version))
 	}
-	status, _, _ := bytes.Cut(rest, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
 	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
-		return errMalformedHead.New("status %q", status)
+		return errMalformedHead.New("status %q", shortened(status))
+	}
+	if !headerfield.IsValue(reason) {
+		return errMalformedHead.New("a control character behind the status")
+	}
+	return nil
+}
+
+// checkField returns an error unless line is a field on one line. A line that begins with a
+// blank continues the field before it; RFC 9112 lets a gateway reject such a response.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !headerfield.IsName(name) {
+		return errMalformedHead.New("field name %q", shortened(name))
+	}
+	if !headerfield.IsValue(value) {
+		return errMalformedHead.New("a control character in the value of %s", shortened(name))
 	}
 	return nil
 }
