node: an answer with a malformed trailer line is not complete

Callers saw: an answer with a line in its trailers that is no field counted as complete.

Change: the trailers of a chunked response are read line by line with the check of the head. The sizes of the chunks are still read by net/http's reader.

--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -97,3 +97,18 @@
 	}
 	assertBroken(t, texts)
 }
+
+// Guards against a line of the trailers that is no field and reaches a caller, and against
+// an answer that counts as complete although its trailers are broken.
+func TestInvalidFieldInTrailers(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n" + sealedFields + "Transfer-Encoding: chunked\r\n"
+	const chunks = "\r\n4\r\nbody\r\n0\r\n"
+	texts := map[string]string{
+		"blank in a declared name": start + "Trailer: X Field\r\n" + chunks + "X Field: 1\r\n\r\n",
+	}
+	for name, field := range badFields {
+		texts[name] = start + chunks + field + "\r\n\r\n"
+		texts[name+", behind another"] = start + "Trailer: X-Sum\r\n" + chunks + "X-Sum: 1\r\n" + field + "\r\n\r\n"
+	}
+	assertBroken(t, texts)
+}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -134,7 +134,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			x.conn.headerBytesLeft = noHeaderLimit
-			return resp, nil
+			return resp, checkTrailers(resp, x.conn.r)
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			break
