node: an HTTP/1.0 answer with a transfer encoding is no answer

Callers saw: a 200 whose body held the sizes of the chunks ("4\r\nbody\r\n0\r\n\r\n"), or the first bytes of that ("4\r\nb") if the answer had a length too. Found while looking for other heads that net/http repairs.

Cause: net/http drops the transfer encoding of an HTTP/1.0 response and reads the body as if it were not encoded. RFC 9112, section 6.1, has clients treat the framing of such a message as faulty.

Change: the check of the header rejects the field in HTTP/1.0.

--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -98,6 +98,14 @@
 	assertBroken(t, texts)
 }
 
+// Guards against a body that holds the sizes of its chunks, because net/http ignores the
+// transfer encoding of an HTTP/1.0 answer.
+func TestTransferEncodingInHTTP10(t *testing.T) {
+	const start = "HTTP/1.0 200 OK\r\n" + sealedFields + "transfer-encoding: chunked\r\n"
+	const body = "\r\n4\r\nbody\r\n0\r\n\r\n"
+	assertBroken(t, map[string]string{"no length": start + body, "length": start + "Content-Length: 4\r\n" + body})
+}
+
 // Guards against a line of the trailers that is no field and reaches a caller, and against
 // an answer that counts as complete although its trailers are broken.
 func TestInvalidFieldInTrailers(t *testing.T) {
--- a/node/responsehead.go
+++ b/node/responsehead.go
@@ -24,6 +24,7 @@
 	scanned   int  // bytes that have been searched for the end of a line
 	lineStart int  // bytes before the line that is not complete yet
 	started   bool // the status line was seen
+	http10    bool // the version is HTTP/1.0
 }
 
 // scan checks the complete lines in b, which begins with the status line and has grown
@@ -41,11 +42,12 @@
 		switch {
 		case !h.started:
 			h.started = true
+			h.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 			err = checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
 		default:
-			err = checkField(line)
+			err = h.checkHeadField(line)
 		}
 		if err != nil {
 			return false, err
@@ -70,6 +72,15 @@
 	return nil
 }
 
+// checkHeadField checks a field of the header. HTTP/1.0 has no transfer encodings, so where
+// a body with one ends is not certain (RFC 9112, section 6.1).
+func (h *headScanner) checkHeadField(line []byte) error {
+	if name, _, _ := bytes.Cut(line, []byte(":")); h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return errMalformedHead.New("a transfer encoding in HTTP/1.0")
+	}
+	return checkField(line)
+}
+
 // checkField returns an error unless line is a field on one line. A line that begins with a
 // blank continues the field before it; RFC 9112 lets a gateway reject such a response.
 func checkField(line []byte) error {
