platform, nodecall, peer: calls follow no redirects

Callers could see: what another server answers counting as the store's or another node's, for example a write that counts as done. The handshake between nodes even sent the cluster token to the server that the redirect named.

Cause: http.Client follows redirects unless it is told not to. Class: an answer of a server that was not asked.

Change: package noredirect makes a client that returns a redirect as the response.

--- a/internal/nodecall/nodecall.go
+++ b/internal/nodecall/nodecall.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelseam/dotterelseam/internal/noredirect"
 )
 
 // Error is the class of errors of requests that failed or got a status other than
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	resp, err := client.Do(req)
+	resp, err := noredirect.Client(client).Do(req)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/zeebo/errs"
+
+	"github.com/dotterelseam/dotterelseam/internal/noredirect"
 )
 
 // Error is the class of errors of nodes that gave no valid response.
@@ -31,7 +33,7 @@
 	if err != nil {
 		return v, Error.Wrap(err)
 	}
-	resp, err := client.Do(req)
+	resp, err := noredirect.Client(client).Do(req)
 	if err != nil {
 		return v, Error.Wrap(err)
 	}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/dotterelseam/dotterelseam/internal/noredirect"
 )
 
 // dial is a connection attempt that several callers may wait for. conn and err
@@ -103,9 +105,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: tcpKeepAlive}).DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
+	return noredirect.Client(&http.Client{Transport: &http.Transport{
 		DialContext:     dial,
 		ReadBufferSize:  controlBufferBytes,
 		WriteBufferSize: controlBufferBytes,
-	}}
+	}})
 }
