nodecall: an answer that may have been cut off is an error

Calls between nodes carry versions and numbers of tokens as text, and a number without its last digits is still a number.

Cause: an answer longer than the limit was cut there without an error, and one without a length, which ends with its connection, counted as whole however the connection ended.

Change: an answer needs a length or chunks, which all handlers of nodes send, and one that is longer than the limit is an error.

--- a/internal/nodecall/nodecall.go
+++ b/internal/nodecall/nodecall.go
@@ -11,13 +11,12 @@
 	"github.com/dotterelseam/dotterelseam/internal/noredirect"
 )
 
-// Error is the class of errors of requests that failed or got a status other than
-// 200.
+// Error is the class of errors of requests that failed or got no answer as Do describes it.
 var Error = errs.Class("call of another node")
 
 // Do sends a request without a body to the node at a peers address (ip:port) and
-// returns the response body. A body longer than limit bytes is cut off without an
-// error. A status other than 200 is an error. The error is of class Error.
+// returns the response body. A status other than 200, a body longer than limit bytes and one
+// that may have been cut off are errors. The error is of class Error.
 func Do(ctx context.Context, client *http.Client, method, address, path string, limit int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
@@ -31,6 +30,15 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, Error.New("%s answered with status %d", address, resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	return body, Error.Wrap(err)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, Error.New("the answer of %s has no length", address)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, Error.New("the answer of %s is longer than %d bytes", address, limit)
+	}
+	return body, nil
 }
