partition: numbers of tokens from other nodes are checked

Callers could see: a rate limit lifted for half a second (an answer "Inf", "1e300" or any number above what was asked for), or all requests of a workspace refused for good at the node that got a request for "NaN" tokens.

Cause: strconv.ParseFloat accepts NaN and Inf, and comparisons with NaN are false.

Change: one function parses both, and accepts numbers between 0 and what was asked for.

--- a/partition/lend.go
+++ b/partition/lend.go
@@ -124,9 +124,9 @@
 // as decimal text.
 func (q *Quota) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		want, err := strconv.ParseFloat(r.URL.Query().Get("want"), 64)
-		if err != nil {
-			http.Error(w, "want is not a number", http.StatusBadRequest)
+		want, err := parseTokens(r.URL.Query().Get("want"), math.MaxFloat64)
+		if err != nil || want == 0 {
+			http.Error(w, "want is not a number of tokens", http.StatusBadRequest)
 			return
 		}
 		lent := q.Lend(r.URL.Query().Get("workspace"), want)
@@ -183,9 +183,19 @@
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
-	got, err := strconv.ParseFloat(string(body), 64)
-	if err != nil || got < 0 {
-		return 0, Error.Wrap(fmt.Errorf("node %s returned an invalid number of tokens %q: %w", address, body, err))
+	got, err := parseTokens(string(body), math.Ceil(want))
+	if err != nil {
+		return 0, Error.New("node %s: %w", address, err)
 	}
 	return got, nil
 }
+
+// parseTokens returns the number of tokens in text. An error means that it is not between 0
+// and most.
+func parseTokens(text string, most float64) (float64, error) {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(n) || n < 0 || n > most {
+		return 0, fmt.Errorf("%q is not a number of tokens between 0 and %v", text, most)
+	}
+	return n, nil
+}
