ledger: a recorded answer with an invalid status is not replayed

Cause: the replay passed any recorded status to net/http, which panics outside 100 to 999.

Change: such a repeat is refused as a duplicate that ran, as with an answer that is too large to record.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -57,6 +57,8 @@
 	Omitted     bool   `cbor:"4,keyasint,omitempty"` // the body was too large to record
 }
 
+func (a *Answer) hasFinalStatus() bool { return a.Status >= 200 && a.Status <= 599 }
+
 type state uint8
 
 const (
@@ -193,6 +195,8 @@
 	switch {
 	case string(rec.Digest) != string(digest):
 		return nil, refusal.New(refusal.BadRequest, "request ID was used for another request")
+	case rec.State == done && !rec.Answer.hasFinalStatus():
+		return nil, refusal.NewRan(refusal.Duplicate, refusal.RanYes, "request ran; its recorded answer has the invalid status %d", rec.Answer.Status)
 	case rec.State == done && !rec.Answer.Omitted:
 		return &rec.Answer, nil
 	case rec.State == done:
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -195,6 +195,20 @@
 	assert.Equal(t, f.newNode().send(request, answers), "duplicate yes")
 }
 
+// Guards against a recorded answer whose status cannot be sent: the caller would get a
+// closed connection, and nothing would say that the request ran.
+func TestInvalidStatusIsNotReplayed(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 199, 600, 1000} {
+		f := newTestFleet(t)
+		node := f.newNode()
+		entry, _, err := node.ledger.Begin(context.Background(), request)
+		assert.NilError(t, err)
+		entry.Done(ledger.Answer{Status: status})
+		assert.NilError(t, node.ledger.Close(context.Background()))
+		assert.Equal(t, f.newNode().send(request, answers), "duplicate yes", "status %d", status)
+	}
+}
+
 // delayedTable delays the first write until applyHeld is called. The write
 // itself returns an unknown outcome.
 type delayedTable struct {
