--- /dev/null
+++ b/internal/sidecar/endless_test.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a node that keeps the body of an answer without end, or that delivers it as
+// a complete answer. The caller does not read before its deadline.
+func TestBodyWithoutEnd(t *testing.T) {
+	const maxHeld = 64 << 20 // bytes; more than the sockets between a server and a caller hold
+	start := "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
+	part := strings.Repeat("x", 64<<10)
+	for name, tc := range map[string]struct{ start, more string }{
+		"no length":   {start + "\r\n", part},
+		"chunked":     {start + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + part + "\r\n"},
+		"long length": {start + "Content-Length: 1000000000000\r\n\r\n", part},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
+			f.configure(4, farm)
+			shop.awaitServing("read.example")
+			entry.awaitServing("read.example")
+			for _, h := range []*host{shop, entry} {
+				var sent atomic.Int64
+				ended := make(chan struct{})
+				shop.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+					defer close(ended)
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					_, err = io.WriteString(conn, tc.start)
+					for err == nil {
+						_, err = io.WriteString(conn, tc.more)
+						sent.Add(int64(len(tc.more)))
+					}
+				})
+				conn, err := net.Dial("tcp", h.sidecar.settings.Addresses.Callers)
+				assert.NilError(t, err)
+				_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: order.example\r\nX-Attempt-Id: e%d\r\nX-Deadline-Ms: 1000\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n", attempts.Add(1))
+				assert.NilError(t, err)
+				select {
+				case <-ended:
+				case <-time.After(waitLimit):
+					t.Fatal("the server still sends")
+				}
+				assert.Assert(t, sent.Load() < maxHeld, "%d bytes were taken from the server", sent.Load())
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				assert.Assert(t, err != nil, "the answer looks complete")
+				assert.NilError(t, conn.Close())
+			}
+		})
+	}
+}
