node: the header of an answer has at most 500 fields

Callers could see: requests of others that end with the process, if a server sends headers of very many short fields.

Cause: the bytes of a header were limited to 64 KB, its fields were not.

Change: the check of the header counts fields and rejects the 501st before anything is parsed.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -40,10 +40,11 @@
 	// refusal normally arrives with its header.
 	refusalBodyTimeout        = 50 * time.Millisecond
 	maxResponseHeaderBytes    = 64 << 10 // bytes
+	maxResponseFields         = 500      // in a header; each takes about 100 bytes besides its text
 	maxInformationalResponses = 8        // 1xx responses before the final one
 )
 
-var errResponseHeader = errors.New("the headers of the answer are too long")
+var errResponseHeader = errors.New("the headers of the answer are too long or too many")
 
 // errConnBroken is the class of errors of a connection that broke during a write.
 var errConnBroken = errs.Class("the connection broke")
--- a/node/responsehead.go
+++ b/node/responsehead.go
@@ -23,6 +23,7 @@
 type headScanner struct {
 	scanned   int  // bytes that have been searched for the end of a line
 	lineStart int  // bytes before the line that is not complete yet
+	fields    int  // complete fields
 	started   bool // the status line was seen
 	http10    bool // the version is HTTP/1.0
 }
@@ -72,9 +73,12 @@
 	return nil
 }
 
-// checkHeadField checks a field of the header. HTTP/1.0 has no transfer encodings, so where
+// checkHeadField checks a field of the header and counts it. HTTP/1.0 has no transfer encodings, so where
 // a body with one ends is not certain (RFC 9112, section 6.1).
 func (h *headScanner) checkHeadField(line []byte) error {
+	if h.fields++; h.fields > maxResponseFields {
+		return errResponseHeader
+	}
 	if name, _, _ := bytes.Cut(line, []byte(":")); h.http10 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		return errMalformedHead.New("a transfer encoding in HTTP/1.0")
 	}
--- a/node/responsehead_test.go
+++ b/node/responsehead_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -58,6 +59,27 @@
 	}
 }
 
+// Guards against a header of many short fields, which takes many times its size in memory.
+func TestFieldsOfHead(t *testing.T) {
+	for _, tc := range []struct {
+		fields int
+		ok     bool
+	}{{maxResponseFields - 1, true}, {maxResponseFields, true}, {maxResponseFields + 1, false}, {9000, false}} {
+		var head strings.Builder
+		head.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+		for i := 1; i < tc.fields; i++ {
+			fmt.Fprintf(&head, "%x:\r\n", i)
+		}
+		head.WriteString("\r\n")
+		assert.Assert(t, head.Len() < maxResponseHeaderBytes)
+		var requests atomic.Int64
+		p := newConnPool(nil, time.Second, time.Minute, 1, 0)
+		_, err := doExchange(p, newScriptedServer(t, &requests, head.String()))
+		assert.Equal(t, err == nil, tc.ok, "%d fields: %v", tc.fields, err)
+		p.close()
+	}
+}
+
 // FuzzHead guards against a header that passes the check and ends elsewhere for net/http, so
 // that a part of it would be taken for the body.
 func FuzzHead(f *testing.F) {
