--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -13,6 +13,24 @@
 	"gotest.tools/v3/assert"
 )
 
+// sealedFields are the header fields of an answer that the platform's protocol accepts. ID
+// stands for the ID of the request.
+const sealedFields = "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n"
+
+// forRequest returns text with the ID of a request in the place of ID.
+func forRequest(text string, r *http.Request) string {
+	return strings.ReplaceAll(text, "ID", r.Header.Get("X-Attempt-Id"))
+}
+
+// requestHead returns the header of a POST with a body of the given length.
+func requestHead(hostName string, timeout time.Duration, length int) string {
+	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n",
+		hostName, attempts.Add(1), timeout.Milliseconds(), length)
+}
+
+// sealed reports whether the answer has the signature of a server.
+func (a *result) sealed() bool { return a.header.Get("X-Server-Seal") != "" }
+
 // Guards against responses that are corrupt, lost or belong to another request and
 // that reach a caller as success, and against a request that runs twice.
 func TestBadAnswers(t *testing.T) {
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,7 +17,7 @@
 // a complete answer. The caller does not read before its deadline.
 func TestBodyWithoutEnd(t *testing.T) {
 	const maxHeld = 64 << 20 // bytes; more than the sockets between a server and a caller hold
-	start := "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\n"
+	start := "HTTP/1.1 200 OK\r\n" + sealedFields
 	part := strings.Repeat("x", 64<<10)
 	for name, tc := range map[string]struct{ start, more string }{
 		"no length":   {start + "\r\n", part},
@@ -34,14 +33,14 @@
 			for _, h := range []*host{shop, entry} {
 				var sent atomic.Int64
 				ended := make(chan struct{})
-				shop.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+				shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
 					defer close(ended)
 					conn, _, err := http.NewResponseController(w).Hijack()
 					if err != nil {
 						return
 					}
 					defer conn.Close()
-					_, err = io.WriteString(conn, tc.start)
+					_, err = io.WriteString(conn, forRequest(tc.start, r))
 					for err == nil {
 						_, err = io.WriteString(conn, tc.more)
 						sent.Add(int64(len(tc.more)))
@@ -49,7 +48,7 @@
 				})
 				conn, err := net.Dial("tcp", h.sidecar.settings.Addresses.Callers)
 				assert.NilError(t, err)
-				_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: order.example\r\nX-Attempt-Id: e%d\r\nX-Deadline-Ms: 1000\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n", attempts.Add(1))
+				_, err = io.WriteString(conn, requestHead("order.example", time.Second, 0))
 				assert.NilError(t, err)
 				select {
 				case <-ended:
--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -3,14 +3,13 @@
 import (
 	"io"
 	"net/http"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 )
 
-// sendText returns a handler that sends text and closes the connection. ID stands for the
-// ID of the request in it.
+// sendText returns a handler that sends text, with the ID of the request in it, and closes
+// the connection.
 func sendText(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
@@ -18,7 +17,7 @@
 			return
 		}
 		defer conn.Close()
-		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("X-Attempt-Id")))
+		_, _ = io.WriteString(conn, forRequest(text, r))
 	}
 }
 
@@ -37,16 +36,13 @@
 				before := len(shop.requests())
 				a := h.call("POST", "order.example", "k1")
 				assert.Check(t, a.status == http.StatusBadGateway, "status %d, header %v, body %q", a.status, a.header, a.body)
-				assert.Check(t, a.header.Get("X-Server-Seal") == "")
+				assert.Check(t, !a.sealed())
 				assert.Equal(t, len(shop.requests())-before, 1)
 			}
 		})
 	}
 }
 
-// sealedFields are the header fields of an answer that the platform's protocol accepts.
-const sealedFields = "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n"
-
 // Guards against an answer with a status that does not exist, which reaches a caller as an
 // answer or is skipped like an interim answer, so that the bytes behind it count as the answer.
 func TestInvalidStatus(t *testing.T) {
@@ -88,7 +84,7 @@
 		"length with a blank":   start + sealedFields + "Content-Length : 4\r\n\r\nbodybehind",
 		"encoding with a blank": start + sealedFields + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"coding with a blank":   start + sealedFields + "Content-Encoding : gzip\r\nContent-Length: 4\r\n\r\nbody",
-		"folded seal":           start + "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n Content-Length: 4\r\n\r\nbodybehind",
+		"folded seal":           start + sealedFields + " Content-Length: 4\r\n\r\nbodybehind",
 	}
 	for name, field := range badFields {
 		texts[name] = start + sealedFields + field + "\r\nContent-Length: 4\r\n\r\nbody"
--- a/internal/sidecar/uploads_test.go
+++ b/internal/sidecar/uploads_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +16,8 @@
 // an upload that the server does not read stays unfinished.
 const uploadBytes = 64 << 20
 
+const uploadTimeout = 3 * time.Second
+
 // startUpload sends a POST with uploadBytes of body in the background, and returns the
 // answer, whose body has not been read yet, or the error of its head.
 func (h *host) startUpload(hostName string) (*http.Response, error) {
@@ -25,9 +26,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(waitLimit)))
-	head := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: u%d\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n",
-		hostName, attempts.Add(1), uploadBytes)
-	_, err = io.WriteString(conn, head)
+	_, err = io.WriteString(conn, requestHead(hostName, uploadTimeout, uploadBytes))
 	assert.NilError(t, err)
 	go func() {
 		part := make([]byte, 64<<10)
@@ -59,7 +58,7 @@
 			return
 		}
 		defer conn.Close()
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n\r\n"+part)
+		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+part, r))
 		time.Sleep(20 * time.Millisecond) // the upload fills the buffers meanwhile
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	})
@@ -95,7 +94,7 @@
 			return
 		}
 		defer conn.Close()
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n\r\n"+body)
+		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+body, r))
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
 	})
