httpclient: the header of an answer to a call of our own is limited to 64 KB

Callers could see: requests that end with the process. Report of other operators: bytes without end in a head are kept by the machine that called.

Cause: the store's client, calls between nodes, the handshake and the status and report commands used net/http's default, which keeps up to 10 MiB of a header. The requests to backend servers and other nodes were limited to 64 KB already.

Bodies were limited already: the store's to 16 MiB, others to 32 bytes to 16 MiB a call.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/distribution"
 	"github.com/dotterelseam/dotterelseam/gossip"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 	"github.com/dotterelseam/dotterelseam/keys"
 	"github.com/dotterelseam/dotterelseam/ledger"
 	"github.com/dotterelseam/dotterelseam/membership"
@@ -69,7 +70,7 @@
 	dial := sourceDialer(s.Addresses.Peers)
 	d.platform = platform.New(platform.Config{
 		URL:  s.Platform,
-		HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: platformIdleConns}},
+		HTTP: httpclient.New(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: platformIdleConns}),
 	})
 	d.buildControlPlane(incarnation, dial)
 	d.buildQuota(incarnation)
--- a/internal/nodecall/nodecall.go
+++ b/internal/nodecall/nodecall.go
@@ -8,7 +8,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/dotterelseam/dotterelseam/internal/noredirect"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 )
 
 // Error is the class of errors of requests that failed or got no answer as Do describes it.
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	resp, err := noredirect.Client(client).Do(req)
+	resp, err := httpclient.WithoutRedirects(client).Do(req)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -9,7 +9,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/dotterelseam/dotterelseam/internal/noredirect"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 )
 
 // Error is the class of errors of nodes that gave no valid response.
@@ -33,7 +33,7 @@
 	if err != nil {
 		return v, Error.Wrap(err)
 	}
-	resp, err := noredirect.Client(client).Do(req)
+	resp, err := httpclient.WithoutRedirects(client).Do(req)
 	if err != nil {
 		return v, Error.Wrap(err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/directory"
 	"github.com/dotterelseam/dotterelseam/distribution"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 	"github.com/dotterelseam/dotterelseam/internal/keepalive"
 	"github.com/dotterelseam/dotterelseam/node"
 	"github.com/dotterelseam/dotterelseam/partition"
@@ -147,7 +148,7 @@
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, MaxIdleConns: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
+	return httpclient.New(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, MaxIdleConns: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true})
 }
 
 func (d *Sidecar) nodeConfig(bounds platform.Bounds) node.Config {
--- a/keys/operator.go
+++ b/keys/operator.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/dotterelseam/dotterelseam/internal/noredirect"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 	"github.com/dotterelseam/dotterelseam/peer"
 	"github.com/dotterelseam/dotterelseam/store"
 )
@@ -147,7 +147,7 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	resp, err := noredirect.Client(client).Do(req)
+	resp, err := httpclient.WithoutRedirects(client).Do(req)
 	if err != nil {
 		return nil
 	}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -8,7 +8,7 @@
 
 	"github.com/coder/websocket"
 
-	"github.com/dotterelseam/dotterelseam/internal/noredirect"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 )
 
 // dial is a connection attempt that several callers may wait for. conn and err
@@ -105,9 +105,9 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: tcpKeepAlive}).DialContext
 	}
-	return noredirect.Client(&http.Client{Transport: &http.Transport{
+	return httpclient.New(&http.Transport{
 		DialContext:     dial,
 		ReadBufferSize:  controlBufferBytes,
 		WriteBufferSize: controlBufferBytes,
-	}})
+	})
 }
--- a/status/status.go
+++ b/status/status.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/config"
+	"github.com/dotterelseam/dotterelseam/internal/httpclient"
 	"github.com/dotterelseam/dotterelseam/internal/operators"
 	"github.com/dotterelseam/dotterelseam/peer"
 )
@@ -115,7 +116,9 @@
 
 // DefaultClient returns a client whose requests time out after limit.
 func DefaultClient(limit time.Duration) *http.Client {
-	return &http.Client{Timeout: limit, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	c := httpclient.New(&http.Transport{MaxIdleConnsPerHost: 1})
+	c.Timeout = limit
+	return c
 }
 
 // Fetch reads the report of the node whose operators listener is at address
