pipeline: answers kept for their turn are bounded for all connections together

Callers could see: requests that end with the process. Report of other operators: bytes without end in a body were kept until the process ran out of memory.

Cause: the answer to a request that was sent behind another is kept until the one before is written, up to 1 MiB each and 16 a connection, with no limit for all connections. A server that sends bodies without end, or long ones, fills them within moments.

Change: the listener counts the bytes that it keeps. Beyond its limit, an eighth of the memory limit of a sidecar, 64 MiB otherwise, a later answer waits in its write for its turn; the first answer of each connection needs no room, so that turn comes. The gauge caller_answer_bytes_kept shows the count.

--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -25,7 +25,10 @@
 type Config struct {
 	// MaxConns is the limit of open connections. For a new one beyond it, the one that has
 	// had no request for the longest time is closed.
-	MaxConns      int
+	MaxConns int
+	// MaxBuffered is the limit of the bytes of answers that all connections together keep
+	// until earlier answers are written. Beyond it, writes of later answers wait for their turn.
+	MaxBuffered   int64
 	HeaderTimeout time.Duration // from the first byte of a request to the end of its header
 	// FirstRequestTimeout is how long a connection may stay without its first request. For
 	// later ones the idle timeout of the server applies.
@@ -58,9 +61,10 @@
 	Displaced    int64 // connections closed in favour of new ones since the start
 	Accepted     int64 // connections accepted since the start
 	AcceptErrors int64 // failed calls of Accept since the start
+	Buffered     int64 // bytes of answers that are kept until earlier ones are written
 }
 
-type counters struct{ open, accepted, acceptErrors atomic.Int64 }
+type counters struct{ open, accepted, acceptErrors, buffered atomic.Int64 }
 
 // NewListener returns a Listener that accepts connections from l in the background
 // until StopAccepting or Close is called.
@@ -83,7 +87,7 @@
 // Stats returns the present counts. It is safe for concurrent use.
 func (l *Listener) Stats() Stats {
 	s := &l.stats
-	return Stats{Open: s.open.Load(), Quiet: l.quiet.len(), Displaced: l.quiet.displaced.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load()}
+	return Stats{Open: s.open.Load(), Quiet: l.quiet.len(), Displaced: l.quiet.displaced.Load(), Accepted: s.accepted.Load(), AcceptErrors: s.acceptErrors.Load(), Buffered: s.buffered.Load()}
 }
 
 // acceptLoop accepts connections until the wrapped listener is closed. Any other error,
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -259,8 +259,8 @@
 	c.changed.Broadcast()
 	for len(c.outstanding) > 0 && !c.ended {
 		s := c.outstanding[0]
-		answer, complete := s.buffered, s.complete
-		s.buffered, s.complete = nil, false
+		answer, complete := s.takeBufferedLocked(), s.complete
+		s.complete = false
 		if len(answer) > 0 {
 			if _, err := c.conn.Write(answer); err != nil {
 				c.abortLocked()
@@ -299,6 +299,7 @@
 	time.AfterFunc(lingerTimeout, c.close)
 	for _, s := range c.outstanding {
 		_ = s.requests.Close()
+		s.takeBufferedLocked()
 	}
 }
 
@@ -306,5 +307,8 @@
 func (c *clientConn) abortLocked() {
 	c.ended = true
 	c.changed.Broadcast()
+	for _, s := range c.outstanding {
+		s.takeBufferedLocked()
+	}
 	c.close()
 }
--- a/internal/pipeline/stream.go
+++ b/internal/pipeline/stream.go
@@ -23,13 +23,13 @@
 	c := s.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.ended && !s.isFirstLocked() && len(s.buffered) > maxBufferedBytes {
+	for !c.ended && !s.mayWriteLocked() && !s.reserveLocked(len(p)) {
 		c.changed.Wait()
 	}
 	switch {
 	case c.ended:
 		return 0, net.ErrClosed
-	case s.isFirstLocked() || len(c.outstanding) == 0:
+	case s.mayWriteLocked():
 		n, err := c.conn.Write(p)
 		if err != nil {
 			c.abortLocked()
@@ -40,6 +40,41 @@
 	return len(p), nil
 }
 
+// mayWriteLocked reports whether no earlier answer has to be written before that of s.
+// clientConn.mu must be held.
+func (s *stream) mayWriteLocked() bool {
+	return len(s.client.outstanding) == 0 || s.isFirstLocked()
+}
+
+// reserveLocked reports whether n further bytes of the answer may be buffered, and counts
+// them in that case. Without room it is the turn of s later: the first stream of each
+// connection needs none. clientConn.mu must be held.
+func (s *stream) reserveLocked(n int) bool {
+	if len(s.buffered) > maxBufferedBytes {
+		return false
+	}
+	l := s.client.listener
+	for {
+		kept := l.stats.buffered.Load()
+		total := kept + int64(n)
+		if l.cfg.MaxBuffered > 0 && total > l.cfg.MaxBuffered {
+			return false
+		}
+		if l.stats.buffered.CompareAndSwap(kept, total) {
+			return true
+		}
+	}
+}
+
+// takeBufferedLocked returns the buffered part of the answer, which is no longer kept.
+// clientConn.mu must be held.
+func (s *stream) takeBufferedLocked() []byte {
+	answer := s.buffered
+	s.buffered = nil
+	s.client.listener.stats.buffered.Add(-int64(len(answer)))
+	return answer
+}
+
 // isFirstLocked reports whether s has the oldest unanswered request. clientConn.mu
 // must be held.
 func (s *stream) isFirstLocked() bool {
@@ -89,7 +124,11 @@
 	s.closed = true
 	c.openStreams--
 	c.idle = slices.DeleteFunc(c.idle, func(other *stream) bool { return other == s })
-	switch position := slices.Index(c.outstanding, s); {
+	position := slices.Index(c.outstanding, s)
+	if position < 0 {
+		s.takeBufferedLocked()
+	}
+	switch {
 	case position == 0, position < 0 && c.openStreams == 0:
 		c.shutDownLocked()
 	}
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -17,6 +17,9 @@
 	// Below 1 there is always a connection without a request that can be closed.
 	requestsPerConnection = 0.75
 	minConnections        = 64
+	// answerMemory is the fraction of the memory limit that answers may use that are kept
+	// until earlier ones of the same connection are written. Their buffers may be twice as large.
+	answerMemory = 0.125
 )
 
 // callerLimits returns the limits of callers' connections and of their requests in flight
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -155,7 +155,7 @@
 	s := &d.settings
 	connections, requests := callerLimits(s.OpenFiles, s.MemoryLimit)
 	return node.Config{
-		MaxConnections: connections, MaxRequests: requests,
+		MaxConnections: connections, MaxRequests: requests, MaxBufferedAnswers: int64(answerMemory * float64(s.MemoryLimit)),
 		ID: s.Name, Incarnation: uint64(time.Now().UnixNano()), DataCentre: s.DataCentre, Region: s.Region,
 		PeerAddress: s.Addresses.Advertised(), SourceIP: s.Addresses.Source(), Service: s.Service, Protocol: platform.Protocol{},
 		Callers: d.listeners.callers, Peers: d.listeners.peers, Operators: d.listeners.operators,
--- a/node/config.go
+++ b/node/config.go
@@ -25,10 +25,11 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxHeaderBytes    = 32 << 10 // bytes
-	DefaultReadHeaderTimeout = 5 * time.Second
-	DefaultIdleTimeout       = 60 * time.Second
-	DefaultBodyIdleTimeout   = 10 * time.Second
+	DefaultMaxHeaderBytes     = 32 << 10 // bytes
+	DefaultMaxBufferedAnswers = 64 << 20 // bytes
+	DefaultReadHeaderTimeout  = 5 * time.Second
+	DefaultIdleTimeout        = 60 * time.Second
+	DefaultBodyIdleTimeout    = 10 * time.Second
 	// DefaultAnnouncementLifetime is three times the interval of announcements.
 	DefaultAnnouncementLifetime = 3 * time.Second
 	// DefaultShutdownDelay lets the other nodes learn of a planned stop before the
@@ -93,11 +94,14 @@
 	// MaxConnections is the limit of callers' connections. For a new one beyond it, the one
 	// without a request for the longest time is closed. It should exceed MaxRequests;
 	// default twice MaxRequests.
-	MaxConnections    int
-	MaxHeaderBytes    int           // of a caller's request, bytes; default 32 KiB
-	ReadHeaderTimeout time.Duration // time to send the headers; default 5 s
-	IdleTimeout       time.Duration // of a caller's connection between requests; default 60 s
-	BodyIdleTimeout   time.Duration // longest pause of a sender within a body; default 10 s
+	MaxConnections int
+	// MaxBufferedAnswers limits the answers that are kept until earlier ones of the same
+	// connection are written, in bytes over all callers' connections; default 64 MiB.
+	MaxBufferedAnswers int64
+	MaxHeaderBytes     int           // of a caller's request, bytes; default 32 KiB
+	ReadHeaderTimeout  time.Duration // time to send the headers; default 5 s
+	IdleTimeout        time.Duration // of a caller's connection between requests; default 60 s
+	BodyIdleTimeout    time.Duration // longest pause of a sender within a body; default 10 s
 	// AnnouncementLifetime is how long an announcement is valid after it was
 	// received; default 3 s.
 	AnnouncementLifetime time.Duration
@@ -133,6 +137,9 @@
 	if c.MaxConnections == 0 {
 		c.MaxConnections = connectionsPerRequest * c.MaxRequests
 	}
+	if c.MaxBufferedAnswers == 0 {
+		c.MaxBufferedAnswers = DefaultMaxBufferedAnswers
+	}
 	if c.MaxHeaderBytes == 0 {
 		c.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -59,6 +59,7 @@
 	metrics.NewRegisteredFunctionalGauge("caller_connections_accepted", m.registry, func() int64 { return stats().Accepted })
 	metrics.NewRegisteredFunctionalGauge("caller_connections_quiet", m.registry, func() int64 { return stats().Quiet })
 	metrics.NewRegisteredFunctionalGauge("caller_connections_displaced", m.registry, func() int64 { return stats().Displaced })
+	metrics.NewRegisteredFunctionalGauge("caller_answer_bytes_kept", m.registry, func() int64 { return stats().Buffered })
 	metrics.NewRegisteredFunctionalGauge("caller_accept_errors", m.registry, func() int64 { return stats().AcceptErrors })
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 	n.onward.epoch = n.backend.epoch
 	cfg.Directory.Watch(n.updateDestination)
 	n.callers = pipeline.NewListener(cfg.Callers, pipeline.Config{
-		MaxConns: cfg.MaxConnections, HeaderTimeout: cfg.ReadHeaderTimeout, FirstRequestTimeout: cfg.IdleTimeout,
+		MaxConns: cfg.MaxConnections, MaxBuffered: cfg.MaxBufferedAnswers, HeaderTimeout: cfg.ReadHeaderTimeout, FirstRequestTimeout: cfg.IdleTimeout,
 		OnAcceptError: func(err error) { n.log.sampled("accept_failed", "listener", "callers", "error", err.Error()) },
 	})
 	n.metrics.registerConnections(n.callers.Stats)
