sidecar: a short stop limit leaves time for the requests that were taken last

Callers saw (reported for systems of this kind): in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated (LOST).

Here: not with the grace of the users' deployments (6 and 10 s), where requests are taken for 2.2 s after SIGTERM. With a stop limit below 3.2 s they were taken until the end.

Cause: the time for which a stopping node takes requests (2.2 s), the reserve for the exit (1 s) and the wait before the servers shut down (0.5 s) did not depend on the limit.

Change: each part is also limited to a fraction of the stop limit, so that a quarter of it is left for the requests that were taken last. From 6 s on nothing changes.

--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -19,9 +19,15 @@
 
 // forRequest returns text with the ID of a request in the place of ID.
 func forRequest(text string, r *http.Request) string {
-	return strings.ReplaceAll(text, "ID", r.Header.Get("X-Attempt-Id"))
+	return strings.ReplaceAll(text, "ID", requestID(r.Header))
 }
 
+// requestID returns the ID of the request with the header h.
+func requestID(h http.Header) string { return h.Get("X-Attempt-Id") }
+
+// seal adds the signature of a server to an answer.
+func seal(w http.ResponseWriter) { w.Header().Set("X-Server-Seal", "seal") }
+
 // requestHead returns the header of a POST with a body of the given length.
 func requestHead(hostName string, timeout time.Duration, length int) string {
 	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n",
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,12 +35,6 @@
 	// after which a backend server counts as stopped. It can be high because a crashed
 	// server is detected earlier, by its refused connections.
 	lifetimeIntervals = 6
-	// stopReserve is the part of the stop limit that is reserved for the last log lines
-	// and the exit of the process.
-	stopReserve = time.Second
-	// drainDelay is how long a stopping node still accepts requests, until callers and
-	// other nodes have learnt that it is not ready any more.
-	drainDelay = 2200 * time.Millisecond
 	// retryBudgetFraction is the fraction of the permitted retry ratio that a node uses.
 	// It is below 1 because a retry of a call also repeats its onward calls.
 	retryBudgetFraction = 0.75
@@ -165,7 +159,8 @@
 		Admission: admission.Config{FixedLimit: true},
 		Metrics:   d.metrics, Log: d.log, Control: d.peerHandler(),
 		AnnouncementLifetime: lifetimeIntervals * s.AnnouncementInterval,
-		DrainDelay:           drainDelay,
+		DrainDelay:           partsOfStop(s.StopLimit).drainDelay,
+		ShutdownDelay:        partsOfStop(s.StopLimit).shutdownDelay,
 	}
 }
 
@@ -234,4 +229,6 @@
 
 // StopLimit returns the time limit for Stop: the stop limit of the settings less the time
 // reserved for the exit of the process.
-func (d *Sidecar) StopLimit() time.Duration { return d.settings.StopLimit - stopReserve }
+func (d *Sidecar) StopLimit() time.Duration {
+	return d.settings.StopLimit - partsOfStop(d.settings.StopLimit).reserve
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -65,9 +65,10 @@
 
 // fleet starts hosts that share one stand-in of the platform.
 type fleet struct {
-	t       testing.TB
-	standIn *standin.Platform
-	url     string
+	t         testing.TB
+	standIn   *standin.Platform
+	url       string
+	stopLimit time.Duration // in the settings of new nodes
 }
 
 // host is a node with its backend server.
@@ -83,7 +84,7 @@
 }
 
 func newFleet(t testing.TB) *fleet {
-	f := &fleet{t: t, standIn: standin.NewPlatform()}
+	f := &fleet{t: t, standIn: standin.NewPlatform(), stopLimit: waitLimit}
 	srv := httptest.NewServer(f.standIn.Handler())
 	t.Cleanup(srv.CloseClientConnections)
 	f.url = srv.URL
@@ -139,7 +140,7 @@
 			Addresses: settings.SidecarAddresses{
 				Callers: freeAddress(t), Peers: freeAddress(t), Announcements: freeAddress(t), Ready: freeAddress(t), Operators: freeAddress(t),
 			},
-			AnnouncementInterval: time.Hour, MemoryLimit: 1 << 30, StopLimit: waitLimit,
+			AnnouncementInterval: time.Hour, MemoryLimit: 1 << 30, StopLimit: h.fleet.stopLimit,
 		}, logr.Discard())
 		if err == nil || !strings.Contains(err.Error(), "address already in use") {
 			break
@@ -203,15 +204,15 @@
 	for i := 0; i+1 < len(extraHeaders); i += 2 {
 		req.Header.Set(extraHeaders[i], extraHeaders[i+1])
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Timeout: waitLimit, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return result{}
+		return result{id: id}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return result{}
+		return result{id: id}
 	}
 	return result{resp.StatusCode, string(body), resp.Header, id}
 }
--- /dev/null
+++ b/internal/sidecar/stop_test.go
@@ -0,0 +1,96 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/dotterelseam/dotterelseam/node"
+)
+
+// stopUnderLoad stops the node of entry, within the limit of its settings, while callers send
+// it requests that run for serviceTime each at the backend server of shop. It returns the
+// answers to the requests that the backend server received, by ID, and the error of the stop.
+func stopUnderLoad(t *testing.T, entry, shop *host, serviceTime time.Duration) (answers map[string]result, err error) {
+	const callers = 4
+	var mu sync.Mutex
+	received := map[string]bool{}
+	shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		received[requestID(r.Header)] = true
+		mu.Unlock()
+		time.Sleep(serviceTime)
+		seal(w)
+		_, _ = io.WriteString(w, "whole")
+	})
+	ended := make(chan struct{})
+	answers = map[string]result{}
+	var load sync.WaitGroup
+	for range callers {
+		load.Go(func() {
+			for {
+				a := entry.call("POST", "order.example", "k1")
+				mu.Lock()
+				answers[a.id] = a
+				mu.Unlock()
+				select {
+				case <-ended:
+					return
+				default:
+				}
+			}
+		})
+	}
+	waitUntil(t, func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(answers) < callers {
+			return "the callers have not begun"
+		}
+		return ""
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), entry.sidecar.StopLimit())
+	defer cancel()
+	err = entry.sidecar.Stop(ctx)
+	close(ended)
+	load.Wait()
+	for id := range answers {
+		if !received[id] {
+			delete(answers, id)
+		}
+	}
+	return answers, err
+}
+
+// Guards against a stop that takes requests until its limit and then cuts them off, because
+// the limit is shorter than the time for which a stopping node takes requests.
+func TestStopWithShortLimit(t *testing.T) {
+	f := newFleet(t)
+	f.stopLimit = 3 * time.Second
+	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	entry.awaitServing("read.example")
+	answers, err := stopUnderLoad(t, entry, shop, 50*time.Millisecond)
+	for id, a := range answers {
+		assert.Check(t, a.status != 0, "request %s ran and got no answer", id)
+	}
+	assert.NilError(t, err)
+}
+
+// Guards against parts of a stop that take longer together than its limit, and against a
+// stop that hardly leaves time for the requests in flight.
+func TestPartsOfStop(t *testing.T) {
+	for _, limit := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		p := partsOfStop(limit)
+		assert.Check(t, p.reserve <= stopReserve && p.drainDelay <= drainDelay && p.shutdownDelay <= node.DefaultShutdownDelay)
+		assert.Check(t, p.reserve > 0 && p.drainDelay > 0 && p.shutdownDelay > 0)
+		inFlight := limit - p.reserve - p.drainDelay - p.shutdownDelay
+		assert.Check(t, inFlight >= limit/4, "limit %v: %v for requests in flight", limit, inFlight)
+	}
+	assert.Equal(t, partsOfStop(6*time.Second), stopParts{reserve: stopReserve, drainDelay: drainDelay, shutdownDelay: node.DefaultShutdownDelay})
+}
