node: requests in flight at the end of a stop get an answer

Cause: when the stop limit passed, the node closed its connections with the requests on them. A closed connection tells a caller nothing; some take it for "not read" and repeat a request that may run once only.

Ruled out: an earlier end. What is in flight has until the stop limit as before, so no request is cut that was answered before this change.

Change: at the stop limit the contexts of all requests in flight end with a cause of their own. Each is refused at once: 502, may have run, or 503, not run, if nothing was sent.

--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -94,3 +94,45 @@
 	}
 	assert.Equal(t, partsOfStop(6*time.Second), stopParts{reserve: stopReserve, drainDelay: drainDelay, shutdownDelay: node.DefaultShutdownDelay})
 }
+
+// Guards against requests that are still in flight at the end of a stop and whose callers get
+// a closed connection, which does not tell them that the request may have run.
+func TestStopAnswersWhatItCutsOff(t *testing.T) {
+	f := newFleet(t)
+	f.stopLimit = time.Second
+	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	entry.awaitServing("read.example")
+	shop.awaitServing("read.example")
+	started, release := make(chan struct{}, 4), make(chan struct{})
+	defer close(release)
+	shop.setResponse(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	})
+	var calls sync.WaitGroup
+	for _, h := range []*host{entry, shop} {
+		calls.Go(func() {
+			a := h.call("POST", "order.example", "k1")
+			assert.Check(t, a.status == http.StatusBadGateway, "%s: status %d", h.id, a.status)
+		})
+		calls.Go(func() {
+			resp, err := h.startUpload("order.example")
+			if assert.Check(t, err, h.id) {
+				assert.Check(t, resp.StatusCode == http.StatusBadGateway, "upload, %s: status %d", h.id, resp.StatusCode)
+			}
+		})
+	}
+	for range cap(started) {
+		<-started
+	}
+	for _, h := range []*host{entry, shop} {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), h.sidecar.StopLimit())
+			defer cancel()
+			err := h.sidecar.Stop(ctx)
+			assert.Check(t, node.ErrStopLimit.Has(err), "%v", err)
+		})
+	}
+	calls.Wait()
+}
--- a/node/deliver.go
+++ b/node/deliver.go
@@ -172,6 +172,9 @@
 		ran = refusal.RanMaybe
 	}
 	outcome := d.abortOutcome(ctx)
+	if refused := cutOffRefusal(ctx, ran); refused != nil {
+		return d.refuse(refused, outcome)
+	}
 	switch cause := d.req.senderFailure(ctx); {
 	case cause != nil:
 		return d.refuse(refusal.NewRan(cause.Reason, ran, "%s", cause.Message), admission.Cancelled)
--- a/node/hop.go
+++ b/node/hop.go
@@ -68,6 +68,9 @@
 	if x.ctx.Err() != nil {
 		f.outcome = balancer.Cancelled
 	}
+	if f.refusal = cutOffRefusal(x.ctx, ran); f.refusal != nil {
+		return f
+	}
 	switch cause := x.req.senderFailure(x.ctx); {
 	case cause != nil:
 		f.outcome = balancer.Cancelled
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	stopping        atomic.Bool // new requests are refused
 	stopped         chan struct{}
 	stopOnce        sync.Once
+	cutOff          cutOff
 	inFlight        gate
 	hopsInFlight    atomic.Int64
 	backgroundTasks sync.WaitGroup    // Stop waits for them
@@ -71,7 +72,7 @@
 	n := &Node{
 		cfg: cfg, log: newEventLog(cfg.Log, cfg.Clock), metrics: newNodeMetrics(cfg.Metrics), burn: newBurnTable(cfg.Clock),
 		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopDialTimeout, hopIdleTimeout, maxIdleHopConns, 0),
-		stopped: make(chan struct{}),
+		stopped: make(chan struct{}), cutOff: newCutOff(),
 	}
 	n.hops.dialer.Control = keepalive.UserTimeout(hopUnackedTimeout)
 	n.hops.dialFunc, n.backend.dial = cfg.Dial, cfg.Dial
@@ -180,8 +181,9 @@
 }
 
 // Stop announces that the node is draining, refuses new requests while those in flight
-// are finished, and ends Run. If ctx ends first, the remaining requests are aborted
-// and the error is of ErrStopLimit. Only the first call has an effect.
+// are finished, and ends Run. If ctx ends first, the remaining requests are refused, which
+// takes up to cutOffTime more, and the error is of ErrStopLimit. Only the first call has an
+// effect.
 func (n *Node) Stop(ctx context.Context) error {
 	var err error
 	n.stopOnce.Do(func() { err = n.stop(ctx) })
@@ -204,7 +206,7 @@
 	idle = n.waitIdle(ctx) && idle
 	defer close(n.stopped)
 	if !idle {
-		return ErrStopLimit.New("%d requests in flight", n.inFlight.count()+int(n.hopsInFlight.Load()))
+		return ErrStopLimit.New("%d requests in flight", n.endCalls())
 	}
 	n.cfg.Directory.Announce(nil)
 	for _, s := range n.servers {
