node: up to 500 ms for the refusals at the end of a stop

100 ms are less than what a node on a busy machine may have to wait for the processor. The reserve of a sidecar is 1 s; the stop does not wait longer than the refusals take.

--- a/node/cutoff.go
+++ b/node/cutoff.go
@@ -10,7 +10,7 @@
 
 // cutOffTime is how long a stop may take beyond its limit to refuse the requests that are
 // still in flight.
-const cutOffTime = 100 * time.Millisecond
+const cutOffTime = 500 * time.Millisecond
 
 // errCutOff is the cause of contexts that end because the stop limit has passed.
 var errCutOff = errors.New("the stop limit of the node has passed")
--- a/node/responsehead.go
+++ b/node/responsehead.go
@@ -73,8 +73,8 @@
 	return nil
 }
 
-// checkHeadField checks a field of the header and counts it. HTTP/1.0 has no transfer encodings, so where
-// a body with one ends is not certain (RFC 9112, section 6.1).
+// checkHeadField checks a field of the header and counts it. HTTP/1.0 has no transfer
+// encodings, so where a body with one ends is not certain (RFC 9112, section 6.1).
 func (h *headScanner) checkHeadField(line []byte) error {
 	if h.fields++; h.fields > maxResponseFields {
 		return errResponseHeader
