node: the cut at the end of a stop takes no context per request

The contexts of all requests are made of one that ends, with a cause, at the stop limit, through the BaseContext of the servers; before, each request made two more.

--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -17,6 +17,18 @@
 // stands for the ID of the request.
 const sealedFields = "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n"
 
+// sendRaw returns a handler that leaves the connection to answer, and closes it afterwards.
+func sendRaw(answer func(conn *net.TCPConn, r *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		answer(conn.(*net.TCPConn), r)
+	}
+}
+
 // forRequest returns text with the ID of a request in the place of ID.
 func forRequest(text string, r *http.Request) string {
 	return strings.ReplaceAll(text, "ID", requestID(r.Header))
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -33,19 +33,14 @@
 			for _, h := range []*host{shop, entry} {
 				var sent atomic.Int64
 				ended := make(chan struct{})
-				shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
+				shop.setResponse(sendRaw(func(conn *net.TCPConn, r *http.Request) {
 					defer close(ended)
-					conn, _, err := http.NewResponseController(w).Hijack()
-					if err != nil {
-						return
-					}
-					defer conn.Close()
-					_, err = io.WriteString(conn, forRequest(tc.start, r))
+					_, err := io.WriteString(conn, forRequest(tc.start, r))
 					for err == nil {
 						_, err = io.WriteString(conn, tc.more)
 						sent.Add(int64(len(tc.more)))
 					}
-				})
+				}))
 				conn, err := net.Dial("tcp", h.sidecar.settings.Addresses.Callers)
 				assert.NilError(t, err)
 				_, err = io.WriteString(conn, requestHead("order.example", time.Second, 0))
--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -11,14 +12,7 @@
 // sendText returns a handler that sends text, with the ID of the request in it, and closes
 // the connection.
 func sendText(text string) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_, _ = io.WriteString(conn, forRequest(text, r))
-	}
+	return sendRaw(func(conn *net.TCPConn, r *http.Request) { _, _ = io.WriteString(conn, forRequest(text, r)) })
 }
 
 // assertBroken checks, on the same host and across one hop, that a request whose server
--- a/internal/sidecar/uploads_test.go
+++ b/internal/sidecar/uploads_test.go
@@ -52,16 +52,11 @@
 	f.configure(4, farm)
 	shop.awaitServing("read.example")
 	entry.awaitServing("read.example")
-	shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	shop.setResponse(sendRaw(func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+part, r))
 		time.Sleep(20 * time.Millisecond) // the upload fills the buffers meanwhile
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	})
+		_ = conn.SetLinger(0)
+	}))
 	for name, h := range map[string]*host{"same host": shop, "one hop": entry} {
 		t.Run(name, func(t *testing.T) {
 			complete := 0
@@ -88,16 +83,11 @@
 	f.configure(4, farm)
 	shop.awaitServing("read.example")
 	entry.awaitServing("read.example")
-	shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	shop.setResponse(sendRaw(func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+body, r))
-		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
-	})
+	}))
 	for _, h := range []*host{shop, entry} {
 		for range 5 {
 			resp, err := h.startUpload("order.example")
--- a/node/callers.go
+++ b/node/callers.go
@@ -178,9 +178,7 @@
 // runCall runs a call and sends its response or refusal. entry is nil unless the
 // ledger is used.
 func (n *Node) runCall(w http.ResponseWriter, r *http.Request, c *call, entry *ledger.Entry) {
-	ctx, release := n.cutOff.context(r.Context())
-	defer release()
-	ctx, cancel := context.WithDeadline(ctx, c.req.deadline.Add(hopGrace))
+	ctx, cancel := context.WithDeadline(r.Context(), c.req.deadline.Add(hopGrace))
 	defer cancel()
 	res, refused := c.run(ctx)
 	if refused != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,8 @@
 	stopping        atomic.Bool // new requests are refused
 	stopped         chan struct{}
 	stopOnce        sync.Once
-	cutOff          cutOff
+	requestContext  context.Context // of which the contexts of all requests are made
+	cutOff          context.CancelCauseFunc
 	inFlight        gate
 	hopsInFlight    atomic.Int64
 	backgroundTasks sync.WaitGroup    // Stop waits for them
@@ -72,8 +73,9 @@
 	n := &Node{
 		cfg: cfg, log: newEventLog(cfg.Log, cfg.Clock), metrics: newNodeMetrics(cfg.Metrics), burn: newBurnTable(cfg.Clock),
 		calls: attempt.NewRegistry(), hops: newConnPool(cfg.SourceIP, hopDialTimeout, hopIdleTimeout, maxIdleHopConns, 0),
-		stopped: make(chan struct{}), cutOff: newCutOff(),
+		stopped: make(chan struct{}),
 	}
+	n.requestContext, n.cutOff = context.WithCancelCause(context.Background())
 	n.hops.dialer.Control = keepalive.UserTimeout(hopUnackedTimeout)
 	n.hops.dialFunc, n.backend.dial = cfg.Dial, cfg.Dial
 	n.throttle = admission.NewThrottle(cfg.Clock)
@@ -116,6 +118,7 @@
 		// bounds what the server reads of longer ones.
 		MaxHeaderBytes: 2 * n.cfg.MaxHeaderBytes,
 		ErrorLog:       n.serverLog(),
+		BaseContext:    func(net.Listener) context.Context { return n.requestContext },
 		// "OPTIONS *" is refused like any other request without a route.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -62,9 +62,7 @@
 		method: r.Method, host: r.Host, header: forwardable(r.Header, 0), body: body, deadline: deadline,
 		target: target{service: hop.Service, url: *r.URL},
 	}
-	ctx, release := n.cutOff.context(r.Context())
-	defer release()
-	res, f := n.deliver(ctx, hop, req)
+	res, f := n.deliver(r.Context(), hop, req)
 	if f == nil {
 		if err := res.readAhead(false); err != nil {
 			f = n.incompleteHop(req, res)
