standin: broken answers name the limit of the server too

Cause: an answer that names no limit ends it. The stand-in's answers that are sent twice or cut off named none, and the checker went on counting the limit. Not a fault of the product; the check stays as it is.

Change: the stand-in writes the same signals into all answers.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,7 @@
 	{Options{Seed: 104}, "a node kept an old configuration while its connection to the store was blackholed"},
 	{Options{Seed: 105}, "restarted nodes that the store rejected took the whole rate limit of each workspace"},
 	{Options{Seed: 206}, "as 104; callers with new keys were refused"},
+	{Options{Seed: 1796609597375918643, PlannedWork: true, Signals: true}, "answers of the stand-in that were cut off or sent twice named no limit"},
 	{Options{Seed: 1043}, "as 104; the node refused all callers and so did not learn of a newer version"},
 }
 
--- a/internal/standin/sidecarbackend.go
+++ b/internal/standin/sidecarbackend.go
@@ -322,10 +322,10 @@
 	seal := Seal(id, status, payload)
 	switch {
 	case sampler.sample(behaviour.Truncate):
-		writeRawAndClose(w, formatResponse(id, status, seal, len(payload))+string(payload[:len(payload)/2]))
+		writeRawAndClose(w, s.formatResponse(id, status, seal, len(payload))+string(payload[:len(payload)/2]))
 	case sampler.sample(behaviour.ExtraAnswer):
 		extra := []byte("late")
-		writeRawAndClose(w, formatResponse(id, status, seal, len(payload))+string(payload)+formatResponse(id+"x", status, Seal(id+"x", status, extra), len(extra))+string(extra))
+		writeRawAndClose(w, s.formatResponse(id, status, seal, len(payload))+string(payload)+s.formatResponse(id+"x", status, Seal(id+"x", status, extra), len(extra))+string(extra))
 	default:
 		w.Header().Set(platformSeal, seal)
 		w.Header().Set("Content-Length", strconv.Itoa(len(payload)))
--- a/internal/standin/sidecarfaults.go
+++ b/internal/standin/sidecarfaults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 )
 
 // SidecarBackendBehaviour are the faults that a SidecarBackend injects. Fractions are
@@ -19,9 +21,19 @@
 	Shed        float64 // fraction that is refused as not run
 }
 
-func formatResponse(id string, status int, seal string, length int) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
-		status, http.StatusText(status), platformAttemptID, id, platformSeal, seal, length)
+// formatResponse returns the header of a response. It says of the server what all its
+// responses say: one that names no limit would end the limit.
+func (s *SidecarBackend) formatResponse(id string, status int, seal string, length int) string {
+	h := http.Header{}
+	h.Set(platformAttemptID, id)
+	h.Set(platformSeal, seal)
+	h.Set("Content-Length", strconv.Itoa(length))
+	s.setSignals(h)
+	var text strings.Builder
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = h.Write(&text) // a strings.Builder does not fail
+	text.WriteString("\r\n")
+	return text.String()
 }
 
 // writeRawAndClose writes text to the hijacked connection and closes it.
