--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -17,6 +17,17 @@
 // stands for the ID of the request.
 const sealedFields = "X-Attempt-Id: ID\r\nX-Server-Seal: seal\r\n"
 
+// shopAndEntry starts a host whose backend server serves all routes, and one whose node
+// reaches it across one hop.
+func (f *fleet) shopAndEntry() (shop, entry *host) {
+	f.t.Helper()
+	shop, entry = f.host("shop-1", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	shop.awaitServing("read.example")
+	entry.awaitServing("read.example")
+	return shop, entry
+}
+
 // sendRaw returns a handler that leaves the connection to answer, and closes it afterwards.
 func sendRaw(answer func(conn *net.TCPConn, r *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -227,11 +238,7 @@
 			continue
 		}
 		t.Run(fmt.Sprintf("after %q", whole[max(n-12, 0):n]), func(t *testing.T) {
-			f := newFleet(t)
-			shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-			f.configure(4, farm)
-			shop.awaitServing("read.example")
-			entry.awaitServing("read.example")
+			shop, entry := newFleet(t).shopAndEntry()
 			shop.setResponse(func(w http.ResponseWriter, r *http.Request) {
 				conn, _, err := http.NewResponseController(w).Hijack()
 				if err != nil {
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -25,11 +25,7 @@
 		"long length": {start + "Content-Length: 1000000000000\r\n\r\n", part},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t)
-			shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-			f.configure(4, farm)
-			shop.awaitServing("read.example")
-			entry.awaitServing("read.example")
+			shop, entry := newFleet(t).shopAndEntry()
 			for _, h := range []*host{shop, entry} {
 				var sent atomic.Int64
 				ended := make(chan struct{})
--- a/internal/sidecar/heads_test.go
+++ b/internal/sidecar/heads_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,11 +19,7 @@
 // assertBroken checks, on the same host and across one hop, that a request whose server
 // sends each of the given texts runs once and gets 502.
 func assertBroken(t *testing.T, texts map[string]string) {
-	f := newFleet(t)
-	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-	f.configure(4, farm)
-	shop.awaitServing("read.example")
-	entry.awaitServing("read.example")
+	shop, entry := newFleet(t).shopAndEntry()
 	for name, text := range texts {
 		t.Run(name, func(t *testing.T) {
 			shop.setResponse(sendText(text))
@@ -110,3 +107,23 @@
 	}
 	assertBroken(t, texts)
 }
+
+// Guards against an answer whose body ends elsewhere than its server meant, because its
+// length, its encoding or its chunks can be read in more than one way.
+func TestMalformedFraming(t *testing.T) {
+	const start = "HTTP/1.1 200 OK\r\n" + sealedFields
+	texts := map[string]string{"no end of the chunks": start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"}
+	for _, length := range []string{"", "-1", "+4", "4, 4", "0x4", "4x", "99999999999999999999"} {
+		texts[fmt.Sprintf("length %q", length)] = start + "Content-Length: " + length + "\r\n\r\nbody"
+	}
+	texts["two lengths"] = start + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody1"
+	for _, encoding := range []string{"", "identity", "gzip, chunked", "chunked\r\nTransfer-Encoding: chunked", "\x0bchunked"} {
+		texts[fmt.Sprintf("encoding %q", encoding)] = start + "Transfer-Encoding: " + encoding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	}
+	for _, size := range []string{"", "+4", " 4", "0x4", "-4", "FFFFFFFFFFFFFFFFF"} {
+		texts[fmt.Sprintf("chunk size %q", size)] = start + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\nbody\r\n0\r\n\r\n"
+	}
+	texts["no line end behind a chunk"] = start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyXX0\r\n\r\n"
+	texts["bare line feeds"] = start + "Transfer-Encoding: chunked\r\n\r\n4\nbody\n0\n\n"
+	assertBroken(t, texts)
+}
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -72,9 +72,7 @@
 func TestStopWithShortLimit(t *testing.T) {
 	f := newFleet(t)
 	f.stopLimit = 3 * time.Second
-	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-	f.configure(4, farm)
-	entry.awaitServing("read.example")
+	shop, entry := f.shopAndEntry()
 	answers, err := stopUnderLoad(t, entry, shop, 50*time.Millisecond)
 	for id, a := range answers {
 		assert.Check(t, a.status != 0, "request %s ran and got no answer", id)
@@ -100,10 +98,7 @@
 func TestStopAnswersWhatItCutsOff(t *testing.T) {
 	f := newFleet(t)
 	f.stopLimit = time.Second
-	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-	f.configure(4, farm)
-	entry.awaitServing("read.example")
-	shop.awaitServing("read.example")
+	shop, entry := f.shopAndEntry()
 	started, release := make(chan struct{}, 4), make(chan struct{})
 	defer close(release)
 	shop.setResponse(func(http.ResponseWriter, *http.Request) {
--- a/internal/sidecar/uploads_test.go
+++ b/internal/sidecar/uploads_test.go
@@ -47,11 +47,7 @@
 		uploads = 20
 		part    = "the first part"
 	)
-	f := newFleet(t)
-	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-	f.configure(4, farm)
-	shop.awaitServing("read.example")
-	entry.awaitServing("read.example")
+	shop, entry := newFleet(t).shopAndEntry()
 	shop.setResponse(sendRaw(func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+part, r))
 		time.Sleep(20 * time.Millisecond) // the upload fills the buffers meanwhile
@@ -78,11 +74,7 @@
 // the upload is not finished: the server sends all of it, closes its sending side and reads on.
 func TestAnswerEndsDuringUpload(t *testing.T) {
 	body := strings.Repeat("whole", 10<<10)
-	f := newFleet(t)
-	shop, entry := f.host("shop-1", "shop"), f.host("other-1", "other")
-	f.configure(4, farm)
-	shop.awaitServing("read.example")
-	entry.awaitServing("read.example")
+	shop, entry := newFleet(t).shopAndEntry()
 	shop.setResponse(sendRaw(func(conn *net.TCPConn, r *http.Request) {
 		_, _ = io.WriteString(conn, forRequest("HTTP/1.1 200 OK\r\n"+sealedFields+"\r\n"+body, r))
 		_ = conn.CloseWrite()
