node: log announcements that are held or ignored, and every withdrawal

A withdrawal of a backend server that the process did not know left no line, nor did an announcement that was held back or ignored, nor a recall that found nothing.

--- a/node/backend.go
+++ b/node/backend.go
@@ -97,12 +97,12 @@
 }
 
 // applyAnnouncement applies a valid announcement and reports whether it changed the
-// backend server.
-func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) bool {
+// backend server, or was outdated and has no effect.
+func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) (changed, outdated bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outdated(&a) {
-		return false
+		return false, true
 	}
 	t.latest = a
 	if edge.States[a.State] == balancer.Draining && a.Started != 0 && a.Started != t.departed.Started {
@@ -111,7 +111,7 @@
 	t.lastAnnounced.Store(t.since(now))
 	old := t.current.Load()
 	if old != nil && equalExceptSequence(old.Announcement, a) {
-		return false
+		return false, false
 	}
 	b := &backendServer{Announcement: a, state: edge.States[a.State]}
 	if old == nil {
@@ -124,7 +124,7 @@
 	if old != nil && old.conns != b.conns {
 		old.conns.close()
 	}
-	return true
+	return true, false
 }
 
 // inheritFrom sets up the connection pool and the admission control of b. It reuses
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -21,6 +21,12 @@
 	return t
 }
 
+// apply applies an announcement and reports whether it changed the backend server.
+func apply(tracker *backendTracker, a edge.Announcement, now time.Time) bool {
+	changed, _ := tracker.applyAnnouncement(a, admission.Config{}, now)
+	return changed
+}
+
 // Guards against an announcement that expires, or a drain signal that lasts or ends, when
 // the time of day is set.
 func TestBackendKeepsThroughClockStep(t *testing.T) {
@@ -31,7 +37,7 @@
 	assert.Assert(t, later.Unix() >= now.Unix()+step)
 	tracker := backendTracker{lifetime: time.Second, epoch: now}
 	a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1"}
-	assert.Assert(t, tracker.applyAnnouncement(a, admission.Config{}, now))
+	assert.Assert(t, apply(&tracker, a, now))
 	_, refused := tracker.usable("shop", later)
 	assert.Assert(t, refused == nil, "%v", refused)
 	assert.Assert(t, !tracker.expire(later))
@@ -64,7 +70,7 @@
 			now := time.Now()
 			tracker := backendTracker{lifetime: time.Second, epoch: now}
 			a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1", Started: 1, Sequence: 1}
-			assert.Assert(t, tracker.applyAnnouncement(a, admission.Config{}, now))
+			assert.Assert(t, apply(&tracker, a, now))
 			before := tracker.current.Load().admission
 			_, err := before.Acquire(context.Background(), admission.Request{})
 			assert.NilError(t, err)
@@ -72,7 +78,7 @@
 			now = now.Add(2 * time.Second)
 			assert.Assert(t, tracker.expire(now))
 			a.Started, a.Sequence = tc.started, 2
-			assert.Assert(t, tracker.applyAnnouncement(a, admission.Config{}, now))
+			assert.Assert(t, apply(&tracker, a, now))
 			after := tracker.current.Load().admission
 			assert.Equal(t, after.RateLimit() == 5, tc.keeps)
 			assert.Equal(t, after.Threshold().InFlight == 1, tc.keeps)
@@ -86,7 +92,7 @@
 func TestWithdrawnBackendStaysAway(t *testing.T) {
 	a := edge.Announcement{Service: "shop", Address: "127.0.0.1:1", Slots: 1, Connections: 1, State: "serving", Instance: "i1", Started: 7, Sequence: 1}
 	now := time.Now()
-	announce := func(tracker *backendTracker) { tracker.applyAnnouncement(a, admission.Config{}, now) }
+	announce := func(tracker *backendTracker) { apply(tracker, a, now) }
 	expire := func(tracker *backendTracker) {
 		announce(tracker)
 		tracker.expire(now.Add(time.Hour))
@@ -107,11 +113,11 @@
 			tracker.withdraw(a.Instance, tc.started)
 			late := a
 			late.Sequence++
-			assert.Assert(t, !tracker.applyAnnouncement(late, admission.Config{}, now))
+			assert.Assert(t, !apply(&tracker, late, now))
 			assert.Assert(t, tracker.current.Load() == nil)
 			next := a
 			next.Started++
-			assert.Assert(t, tracker.applyAnnouncement(next, admission.Config{}, now))
+			assert.Assert(t, apply(&tracker, next, now))
 			_, refused := tracker.usable("shop", now)
 			assert.Assert(t, refused == nil, "%v", refused)
 		})
--- a/node/recall.go
+++ b/node/recall.go
@@ -83,10 +83,8 @@
 	}
 	n.backend.recall(departure)
 	n.remember()
-	if departure != (edge.Departure{}) {
-		n.log.event("backend_recalled", "instance", departure.Instance, "started", departure.Started,
-			"sequence", departure.Sequence, "withdrawn", departure.Withdrawn)
-	}
+	n.log.event("backend_recalled", "instance", departure.Instance, "started", departure.Started,
+		"sequence", departure.Sequence, "withdrawn", departure.Withdrawn)
 	if held := n.recalled.open(); held != nil && n.now().Sub(held.at) < n.cfg.AnnouncementLifetime {
 		n.applyAnnouncement(&held.Announcement)
 	}
@@ -101,6 +99,7 @@
 		return refused
 	}
 	if err := n.recalled.wait(ctx, &a, n.now()); err != nil {
+		n.log.sampled("announcement_held", "instance", a.Instance, "started", a.Started, "sequence", a.Sequence, "state", a.State)
 		return err
 	}
 	n.applyAnnouncement(&a)
@@ -111,7 +110,13 @@
 }
 
 func (n *Node) applyAnnouncement(a *edge.Announcement) {
-	if !n.backend.applyAnnouncement(*a, n.cfg.Admission, n.now()) {
+	changed, outdated := n.backend.applyAnnouncement(*a, n.cfg.Admission, n.now())
+	if outdated {
+		departed := n.backend.departure()
+		n.log.sampled("announcement_ignored", "instance", a.Instance, "started", a.Started, "sequence", a.Sequence, "state", a.State,
+			"departed_instance", departed.Instance, "departed_started", departed.Started)
+	}
+	if !changed {
 		return
 	}
 	n.log.event("backend_announced", "service", a.Service, "address", a.Address, "state", a.State, "slots", a.Slots,
@@ -125,9 +130,10 @@
 // edge.ErrNotStored means that ctx ended before that was stored; the withdrawal is in
 // force in this process, but has to be repeated. It is safe for concurrent use.
 func (n *Node) Withdraw(ctx context.Context, instance string, started int64) error {
-	if n.backend.withdraw(instance, started) {
-		n.log.event("backend_withdrawn", "instance", instance, "started", started)
-	}
+	removed := n.backend.withdraw(instance, started)
+	departed := n.backend.departure()
+	n.log.sampled("backend_withdrawn", "instance", instance, "started", started, "removed", removed,
+		"departed_instance", departed.Instance, "departed_started", departed.Started)
 	if err := n.recalled.waitOpen(ctx); err != nil {
 		return err
 	}
