node: a held announcement takes effect before the calls that waited with it

Cause: a node that starts while the store is down holds announcements back. A withdrawal that came meanwhile found no backend server, waited, and was acknowledged when the store was back; the held announcement was applied beside that, and the server was in use again. Ruled out by the log: a second process, a late heartbeat.

The held announcement is now applied before any waiting call passes, and a withdrawal that waited takes effect once more after the wait, when the start that was held is known.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -181,6 +181,17 @@
 // startHost starts a node. If a service is given, it also starts a backend server and
 // waits until it has announced itself.
 func (f *fleet) startHost(id, service string, behaviour standin.BackendBehaviour) *host {
+	f.t.Helper()
+	h := f.newNode(id)
+	go func() { h.runErr <- h.node.Run(context.Background()) }()
+	if service != "" {
+		f.startBackend(h, service, behaviour)
+	}
+	return h
+}
+
+// newNode returns a host whose node does not run yet.
+func (f *fleet) newNode(id string) *host {
 	f.t.Helper()
 	h := &host{quota: &countingQuota{}, runErr: make(chan error, 1)}
 	cfg := Config{
@@ -199,11 +210,7 @@
 	var err error
 	h.node, err = New(cfg)
 	assert.NilError(f.t, err)
-	go func() { h.runErr <- h.node.Run(context.Background()) }()
 	f.t.Cleanup(func() { h.node.close() })
-	if service != "" {
-		f.startBackend(h, service, behaviour)
-	}
 	return h
 }
 
--- a/node/recall.go
+++ b/node/recall.go
@@ -61,12 +61,15 @@
 	}
 }
 
-// open lets announcements pass and returns the newest one that was held back, or nil.
-func (g *recallGate) open() *heldAnnouncement {
-	close(g.done)
+// open calls apply for the newest announcement that was held back, if any, and lets others
+// pass only then: each call that waited comes after it.
+func (g *recallGate) open(apply func(*heldAnnouncement)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pending
+	if g.pending != nil {
+		apply(g.pending)
+	}
+	close(g.done)
 }
 
 // recall learns what an earlier process of this node has stored about its backend server,
@@ -85,9 +88,11 @@
 	n.remember()
 	n.log.event("backend_recalled", "instance", departure.Instance, "started", departure.Started,
 		"sequence", departure.Sequence, "withdrawn", departure.Withdrawn)
-	if held := n.recalled.open(); held != nil && n.now().Sub(held.at) < n.cfg.AnnouncementLifetime {
-		n.applyAnnouncement(&held.Announcement)
-	}
+	n.recalled.open(func(held *heldAnnouncement) {
+		if n.now().Sub(held.at) < n.cfg.AnnouncementLifetime {
+			n.applyAnnouncement(&held.Announcement)
+		}
+	})
 }
 
 // Announce applies an announcement of the backend server on this host. If it is not
@@ -130,18 +135,27 @@
 // edge.ErrNotStored means that ctx ended before that was stored; the withdrawal is in
 // force in this process, but has to be repeated. It is safe for concurrent use.
 func (n *Node) Withdraw(ctx context.Context, instance string, started int64) error {
-	removed := n.backend.withdraw(instance, started)
-	departed := n.backend.departure()
-	n.log.sampled("backend_withdrawn", "instance", instance, "started", started, "removed", removed,
-		"departed_instance", departed.Instance, "departed_started", departed.Started)
-	if err := n.recalled.waitOpen(ctx); err != nil {
-		return err
+	open := n.recalled.isOpen()
+	n.withdraw(instance, started)
+	if !open {
+		if err := n.recalled.waitOpen(ctx); err != nil {
+			return err
+		}
+		// An announcement that was held back may have been applied since.
+		n.withdraw(instance, started)
 	}
 	n.remember()
 	n.publish()
 	return n.flush(ctx)
 }
 
+func (n *Node) withdraw(instance string, started int64) {
+	removed := n.backend.withdraw(instance, started)
+	departed := n.backend.departure()
+	n.log.sampled("backend_withdrawn", "instance", instance, "started", started, "removed", removed,
+		"departed_instance", departed.Instance, "departed_started", departed.Started)
+}
+
 // remember hands what must outlast this process to the store.
 func (n *Node) remember() {
 	if n.store != nil {
