node: the leaving of a server that the process has not heard of is recorded

Cause: a departure was ordered against announcements by its start only. A new process knew no start and the call named none, so the call was acknowledged and nothing recorded; a late heartbeat made the server serve again. Evidence: 'backend_withdrawn ... removed=false departed_started=0' and then 'backend_announced' in one process. Ruled out: a second process, a new start.

A new start under the old ID is used at once.

Before: TestLeavingOfUnknownServer failed in both cases (shop-1 answers).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -48,10 +48,10 @@
 	members        []balancer.Endpoint            // replaced, never changed
 	watchers       []func(service string)
 	own            *balancer.Endpoint // desired endpoint of the own row; nil: the row is not written
-	departure      edge.Departure     // desired, with own
+	departures     edge.Departures    // desired, with own
 	ownVersion     uint64             // of the own row as last written; used by writeLoop only
-	ownChanged     chan struct{}      // signals that own or departure may differ from the row
-	changes        uint64             // of own and departure so far
+	ownChanged     chan struct{}      // signals that own or departures may differ from the row
+	changes        uint64             // of own and departures so far
 	stored         uint64             // how many of them are in the row
 	ownStored      chan struct{}      // closed and replaced when stored rises
 	version        uint64             // incremented by each call of apply, even if no row changed
@@ -183,15 +183,12 @@
 // writeOwn writes the own row once and returns false if the write has to be repeated.
 func (d *Directory) writeOwn(ctx context.Context) bool {
 	d.mu.Lock()
-	own, departure, changes := d.own, d.departure, d.changes
+	own, departures, changes := d.own, d.departures, d.changes
 	d.mu.Unlock()
 	if own == nil {
 		return true
 	}
-	value := rowValue{Endpoint: *own}
-	if departure != (edge.Departure{}) {
-		value.Departure = &departure
-	}
+	value := newRowValue(*own, departures)
 	encoded, err := cbor.Marshal(&value)
 	if err != nil {
 		d.cfg.Log.Error(err, "endpoint_not_encoded")
--- a/directory/remember.go
+++ b/directory/remember.go
@@ -8,26 +8,24 @@
 
 // Recall implements node.BackendStore. What an earlier process of this node stored is read
 // with the rows, from the store or another node.
-func (d *Directory) Recall(ctx context.Context) (edge.Departure, error) {
+func (d *Directory) Recall(ctx context.Context) (edge.Departures, error) {
 	select {
 	case <-d.ownRead:
 	case <-ctx.Done():
-		return edge.Departure{}, Error.Wrap(ctx.Err())
+		return edge.Departures{}, Error.Wrap(ctx.Err())
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if k := d.rows[d.cfg.Node].Departure; k != nil {
-		return *k, nil
-	}
-	return edge.Departure{}, nil
+	own := d.rows[d.cfg.Node]
+	return own.departures(), nil
 }
 
 // Remember implements node.BackendStore.
-func (d *Directory) Remember(k edge.Departure) {
+func (d *Directory) Remember(departures edge.Departures) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if k != d.departure {
-		d.departure = k
+	if !departures.Equal(d.departures) {
+		d.departures = departures
 		d.changes++
 	}
 }
--- a/directory/row.go
+++ b/directory/row.go
@@ -27,8 +27,26 @@
 // rowValue is the content of a row.
 type rowValue struct {
 	balancer.Endpoint
-	// Departure is read by later processes of the same node only.
-	Departure *edge.Departure `cbor:"20,keyasint,omitempty"`
+	// The departures are read by later processes of the same node only.
+	Departure       *edge.Departure  `cbor:"20,keyasint,omitempty"` // the newest
+	OtherDepartures []edge.Departure `cbor:"21,keyasint,omitempty"`
+}
+
+// newRowValue returns the row of an endpoint.
+func newRowValue(e balancer.Endpoint, d edge.Departures) rowValue {
+	v := rowValue{Endpoint: e, OtherDepartures: d.Others}
+	if d.Newest != (edge.Departure{}) {
+		v.Departure = &d.Newest
+	}
+	return v
+}
+
+func (v *rowValue) departures() edge.Departures {
+	d := edge.Departures{Others: v.OtherDepartures}
+	if v.Departure != nil {
+		d.Newest = *v.Departure
+	}
+	return d
 }
 
 // decodeRow decodes the row of a node. The error is of class Error if another writer put it
--- a/edge/departure.go
+++ b/edge/departure.go
@@ -1,24 +1,46 @@
 package edge
 
-import "github.com/zeebo/errs"
+import (
+	"slices"
+
+	"github.com/zeebo/errs"
+)
 
 // ErrNotStored is the class of errors of announcements and withdrawals that must not be
 // acknowledged yet, because a restarted node would not know of them.
 var ErrNotStored = errs.Class("state of the backend server not stored")
 
 // Departure says that a start of the backend server on a host takes no new requests. The
-// node stores the newest one, because an announcement that was sent before it may arrive
-// late, at a process of the node that has started since. The zero value means none.
+// node stores it, because an announcement that was sent before it may arrive late, at a
+// process of the node that has started since. The zero value means none.
 type Departure struct {
 	Instance string `cbor:"1,keyasint"`
-	Started  int64  `cbor:"2,keyasint"` // Unix milliseconds
+	Started  int64  `cbor:"2,keyasint"` // Unix milliseconds; 0: not known, see Received
 	// Sequence is that of the first announcement with the state draining. Announcements
 	// of this start up to it are outdated.
 	Sequence uint64 `cbor:"3,keyasint,omitempty"`
 	// Withdrawn reports that the start was withdrawn. All its announcements are outdated.
 	Withdrawn bool `cbor:"4,keyasint,omitempty"`
+	// Received is the time at which the departure became known, Unix milliseconds. If the
+	// start is not known, it applies to each start of the instance until then. Departures
+	// of the newest known start leave it 0.
+	Received int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Departures are what a node stores of the starts that take no new requests.
+type Departures struct {
+	Newest Departure   // newest start that left, among those known to the node
+	Others []Departure // with Received; at most one for each instance, the one received last at the end
 }
 
+// Equal reports whether d and other are the same.
+func (d Departures) Equal(other Departures) bool {
+	return d.Newest == other.Newest && slices.Equal(d.Others, other.Others)
+}
+
+// IsZero reports whether d contains no departure.
+func (d Departures) IsZero() bool { return d.Equal(Departures{}) }
+
 // Merge returns what d and other say together: the newer start, or of the same start the
 // higher sequence and whether either was withdrawn.
 func (d Departure) Merge(other Departure) Departure {
@@ -36,7 +58,8 @@
 	return d
 }
 
-// Outdates reports whether a is an announcement from before what d says.
+// Outdates reports whether a is an announcement from before what d says, of a start that
+// is known.
 func (d Departure) Outdates(a *Announcement) bool {
 	switch {
 	case a.Started == 0 || a.Sequence == 0 || d.Started == 0:
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -37,6 +37,7 @@
 		"draining":          func(h *host) int { return h.sendHeartbeat(h.sequence.Add(1), "draining") },
 		"second restart":    func(h *host) int { status := h.deregister(); h.stop(); h.start(); return status },
 		"after a restart":   func(h *host) int { h.stop(); h.start(); return h.deregister() },
+		"no start named":    func(h *host) int { return h.sendControl("Deregister", "") },
 		"and a start since": func(h *host) int { h.deregister(); h.born++; h.announce("ready"); return h.deregister() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -45,19 +46,54 @@
 			assert.Equal(t, leave(leaving), http.StatusOK)
 			leaving.stop()
 			leaving.start()
-			assert.Equal(t, leaving.sendHeartbeat(late, "ready"), http.StatusOK)
-			leaving.awaitServing("read.example")
-			for range 20 {
-				assert.Equal(t, leaving.call("GET", "read.example", "k1").body, "shop-2GET/x")
-			}
+			leaving.requireLeft(late)
 			leaving.born += 2
-			leaving.announce("ready") // a new start
-			waitUntil(t, func() string {
-				if body := leaving.call("GET", "read.example", "k1").body; body != "shop-1GET/x" {
-					return "the new start is not in use: " + body
-				}
-				return ""
-			})
+			leaving.requireUsed()
+		})
+	}
+}
+
+// requireLeft sends an earlier announcement once more, and fails the test if the backend
+// server is used again.
+func (h *host) requireLeft(sequence int64) {
+	t := h.fleet.t
+	t.Helper()
+	assert.Equal(t, h.sendHeartbeat(sequence, "ready"), http.StatusOK)
+	h.awaitServing("read.example")
+	for range 20 {
+		assert.Equal(t, h.call("GET", "read.example", "k1").body, "shop-2GET/x")
+	}
+}
+
+// requireUsed announces a new start and waits until it is in use.
+func (h *host) requireUsed() {
+	h.fleet.t.Helper()
+	h.announce("ready")
+	waitUntil(h.fleet.t, func() string {
+		if body := h.call("GET", "read.example", "k1").body; body != "shop-1GET/x" {
+			return "the new start is not in use: " + body
+		}
+		return ""
+	})
+}
+
+// Guards against a backend server that is used again after a late announcement, because the
+// process that acknowledged its leaving had not heard of it and the call named no start.
+func TestLeavingOfUnknownServer(t *testing.T) {
+	for name, restartAfter := range map[string]bool{"same process": false, "restarted once more": true} {
+		t.Run(name, func(t *testing.T) {
+			leaving := newLeavingHost(t)
+			late := leaving.sequence.Load()
+			leaving.stop()
+			leaving.start()
+			assert.Equal(t, leaving.sendControl("Deregister", ""), http.StatusOK)
+			if restartAfter {
+				leaving.stop()
+				leaving.start()
+			}
+			leaving.requireLeft(late)
+			leaving.born = time.Now().UnixMilli() + 1
+			leaving.requireUsed()
 		})
 	}
 }
--- a/node/backend.go
+++ b/node/backend.go
@@ -46,18 +46,18 @@
 	mu       sync.Mutex        // serialises changes of current; guards the fields below
 	expired  *backendServer    // the one that expired last, without conns; nil if another one has been announced since
 	latest   edge.Announcement // newest announcement seen, by Started and Sequence
-	departed edge.Departure    // newest start that drains or was withdrawn, also to an earlier process
+	departed departures        // starts that take no new requests
 }
 
 // since returns the time since epoch in nanoseconds. It does not change when the time of
 // day is set.
 func (t *backendTracker) since(now time.Time) int64 { return int64(now.Sub(t.epoch)) }
 
-// outdated reports whether a is older than the latest announcement or than what is known
-// of the start that left last. t.mu must be held.
-func (t *backendTracker) outdated(a *edge.Announcement) bool {
+// outdated reports whether a is older than the latest announcement or than a departure.
+// t.mu must be held.
+func (t *backendTracker) outdated(a *edge.Announcement, now time.Time) bool {
 	switch {
-	case t.departed.Outdates(a):
+	case t.departed.outdates(a, now):
 		return true
 	case a.Started != t.latest.Started:
 		return a.Started < t.latest.Started
@@ -101,13 +101,11 @@
 func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) (changed, outdated bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.outdated(&a) {
+	if t.outdated(&a, now) {
 		return false, true
 	}
 	t.latest = a
-	if edge.States[a.State] == balancer.Draining && a.Started != 0 && a.Started != t.departed.Started {
-		t.departed = edge.Departure{Instance: a.Instance, Started: a.Started, Sequence: a.Sequence}
-	}
+	t.departed.noteDraining(&a, now)
 	t.lastAnnounced.Store(t.since(now))
 	old := t.current.Load()
 	if old != nil && equalExceptSequence(old.Announcement, a) {
@@ -151,49 +149,43 @@
 }
 
 // withdraw removes the backend server if it has the given instance ID and, unless
-// started is 0, the given start time (Unix milliseconds). It reports whether it
-// removed one.
-func (t *backendTracker) withdraw(instance string, started int64) bool {
+// started is 0, the given start time (Unix milliseconds), and records that it has left,
+// also if it is not known. It reports whether it removed one. The error is of class
+// edge.ErrNotStored if the departure cannot be recorded.
+func (t *backendTracker) withdraw(instance string, started int64, now time.Time) (removed bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.current.Load()
-	if b == nil {
-		// It may have expired, or may have been announced to an earlier process of this node.
-		if started == 0 && t.expired != nil && t.expired.Instance == instance {
-			started = t.expired.Started
-		}
-		t.noteWithdrawn(instance, started)
-		return false
+	if started == 0 && t.latest.Instance == instance {
+		started = t.latest.Started
 	}
-	if b.Instance != instance || started != 0 && started != b.Started {
-		return false
+	removed = b != nil && b.Instance == instance && b.Started == started
+	if started != 0 && (removed || b == nil || started < b.Started) {
+		t.departed.noteWithdrawn(instance, started)
+	} else {
+		// It was announced to an earlier process of this node, or never. A backend server
+		// that is in use must not count as older than it.
+		err = t.departed.noteUnseen(instance, started, now)
 	}
-	t.noteWithdrawn(instance, b.Started)
-	t.current.Store(nil)
-	b.conns.close()
-	return true
-}
-
-// noteWithdrawn records that a start was withdrawn, if its time is known. t.mu must be
-// held.
-func (t *backendTracker) noteWithdrawn(instance string, started int64) {
-	if started != 0 {
-		t.departed = t.departed.Merge(edge.Departure{Instance: instance, Started: started, Withdrawn: true})
+	if removed {
+		t.current.Store(nil)
+		b.conns.close()
 	}
+	return removed, err
 }
 
-// recall merges what an earlier process of this node has stored.
-func (t *backendTracker) recall(k edge.Departure) {
+// recall adds what an earlier process of this node has stored.
+func (t *backendTracker) recall(stored edge.Departures, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.departed = t.departed.Merge(k)
+	t.departed.recall(stored, now)
 }
 
-// departure returns the newest start that drains or was withdrawn.
-func (t *backendTracker) departure() edge.Departure {
+// departures returns the starts that take no new requests.
+func (t *backendTracker) departures() edge.Departures {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.departed
+	return t.departed.stored()
 }
 
 // expire removes a backend server whose announcement has expired and reports whether
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -100,23 +100,26 @@
 	for name, tc := range map[string]struct {
 		before  func(*backendTracker)
 		started int64 // in the withdrawal; 0: not given
+		next    int64 // start of the next backend server with the same ID
 	}{
-		"known":                {announce, a.Started},
-		"known, no start":      {announce, 0},
-		"expired":              {expire, a.Started},
-		"expired, no start":    {expire, 0},
-		"node restarted since": {func(*backendTracker) {}, a.Started},
+		"known":                          {announce, a.Started, a.Started + 1},
+		"known, no start":                {announce, 0, a.Started + 1},
+		"expired":                        {expire, a.Started, a.Started + 1},
+		"expired, no start":              {expire, 0, a.Started + 1},
+		"node restarted since":           {func(*backendTracker) {}, a.Started, a.Started + 1},
+		"node restarted since, no start": {func(*backendTracker) {}, 0, now.UnixMilli() + 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := backendTracker{lifetime: time.Second, epoch: now}
 			tc.before(&tracker)
-			tracker.withdraw(a.Instance, tc.started)
+			_, err := tracker.withdraw(a.Instance, tc.started, now)
+			assert.NilError(t, err)
 			late := a
 			late.Sequence++
 			assert.Assert(t, !apply(&tracker, late, now))
 			assert.Assert(t, tracker.current.Load() == nil)
 			next := a
-			next.Started++
+			next.Started = tc.next
 			assert.Assert(t, apply(&tracker, next, now))
 			_, refused := tracker.usable("shop", now)
 			assert.Assert(t, refused == nil, "%v", refused)
--- a/node/interfaces.go
+++ b/node/interfaces.go
@@ -70,9 +70,9 @@
 type BackendStore interface {
 	// Recall returns what an earlier process of this node has stored. It waits until that
 	// is known, and returns an error only if ctx ends.
-	Recall(ctx context.Context) (edge.Departure, error)
-	// Remember adds k to what the next write stores. It does not block.
-	Remember(k edge.Departure)
+	Recall(ctx context.Context) (edge.Departures, error)
+	// Remember adds d to what the next write stores. It does not block.
+	Remember(d edge.Departures)
 	// Flush waits until the endpoint announced last and what was remembered are stored.
 	// It returns an error only if ctx ends.
 	Flush(ctx context.Context) error
--- a/node/local.go
+++ b/node/local.go
@@ -158,7 +158,7 @@
 	}
 	b := n.backend.current.Load()
 	switch {
-	case b == nil && n.store != nil && n.recalled.isOpen() && n.backend.departure() != (edge.Departure{}):
+	case b == nil && n.store != nil && n.recalled.isOpen() && !n.backend.departures().IsZero():
 		return e
 	case b == nil:
 		return balancer.Endpoint{}
--- a/node/recall.go
+++ b/node/recall.go
@@ -9,10 +9,6 @@
 	"github.com/dotterelseam/dotterelseam/edge"
 )
 
-// maxStartSkew is how far in the future a stored start may lie. One beyond it was not
-// written by this node and would outdate all announcements.
-const maxStartSkew = time.Hour
-
 // recallGate holds announcements back until the node knows what an earlier process has
 // stored about its backend server. It is safe for concurrent use.
 type recallGate struct {
@@ -52,6 +48,17 @@
 	}
 }
 
+// heldStart returns the start (Unix milliseconds) of an instance whose announcement is held
+// back, or 0.
+func (g *recallGate) heldStart(instance string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pending == nil || g.pending.Instance != instance {
+		return 0
+	}
+	return g.pending.Started
+}
+
 func (g *recallGate) isOpen() bool {
 	select {
 	case <-g.done:
@@ -76,18 +83,13 @@
 // and then applies the newest announcement that arrived meanwhile. It returns when ctx
 // ends.
 func (n *Node) recall(ctx context.Context) {
-	departure, err := n.store.Recall(ctx)
+	stored, err := n.store.Recall(ctx)
 	if err != nil {
 		return // the node stops
 	}
-	if departure.Started > n.now().Add(maxStartSkew).UnixMilli() {
-		n.log.event("departure_ignored", "instance", departure.Instance, "started", departure.Started)
-		departure = edge.Departure{}
-	}
-	n.backend.recall(departure)
+	n.backend.recall(stored, n.now())
 	n.remember()
-	n.log.event("backend_recalled", "instance", departure.Instance, "started", departure.Started,
-		"sequence", departure.Sequence, "withdrawn", departure.Withdrawn)
+	n.log.event("backend_recalled", append(departureFields(n.backend.departures()), "stored_started", stored.Newest.Started)...)
 	n.recalled.open(func(held *heldAnnouncement) {
 		if n.now().Sub(held.at) < n.cfg.AnnouncementLifetime {
 			n.applyAnnouncement(&held.Announcement)
@@ -117,9 +119,8 @@
 func (n *Node) applyAnnouncement(a *edge.Announcement) {
 	changed, outdated := n.backend.applyAnnouncement(*a, n.cfg.Admission, n.now())
 	if outdated {
-		departed := n.backend.departure()
-		n.log.sampled("announcement_ignored", "instance", a.Instance, "started", a.Started, "sequence", a.Sequence, "state", a.State,
-			"departed_instance", departed.Instance, "departed_started", departed.Started)
+		n.log.sampled("announcement_ignored", append([]any{"instance", a.Instance, "started", a.Started, "sequence", a.Sequence,
+			"state", a.State}, departureFields(n.backend.departures())...)...)
 	}
 	if !changed {
 		return
@@ -136,30 +137,47 @@
 // force in this process, but has to be repeated. It is safe for concurrent use.
 func (n *Node) Withdraw(ctx context.Context, instance string, started int64) error {
 	open := n.recalled.isOpen()
-	n.withdraw(instance, started)
+	if started == 0 && !open {
+		started = n.recalled.heldStart(instance)
+	}
+	err := n.withdraw(instance, started)
 	if !open {
-		if err := n.recalled.waitOpen(ctx); err != nil {
-			return err
+		if waitErr := n.recalled.waitOpen(ctx); waitErr != nil {
+			return waitErr
 		}
 		// An announcement that was held back may have been applied since.
-		n.withdraw(instance, started)
+		err = n.withdraw(instance, started)
 	}
 	n.remember()
 	n.publish()
+	if err != nil {
+		return err
+	}
 	return n.flush(ctx)
 }
 
-func (n *Node) withdraw(instance string, started int64) {
-	removed := n.backend.withdraw(instance, started)
-	departed := n.backend.departure()
-	n.log.sampled("backend_withdrawn", "instance", instance, "started", started, "removed", removed,
-		"departed_instance", departed.Instance, "departed_started", departed.Started)
+func (n *Node) withdraw(instance string, started int64) error {
+	removed, err := n.backend.withdraw(instance, started, n.now())
+	n.log.sampled("backend_withdrawn", append([]any{"instance", instance, "started", started, "removed", removed},
+		departureFields(n.backend.departures())...)...)
+	return err
+}
+
+// departureFields returns the fields of a log line that say which starts have left.
+func departureFields(d edge.Departures) []any {
+	fields := []any{"departed_instance", d.Newest.Instance, "departed_started", d.Newest.Started,
+		"departed_sequence", d.Newest.Sequence, "departed_withdrawn", d.Newest.Withdrawn, "departed_others", len(d.Others)}
+	if len(d.Others) > 0 {
+		last := d.Others[len(d.Others)-1]
+		fields = append(fields, "other_instance", last.Instance, "other_received", last.Received)
+	}
+	return fields
 }
 
 // remember hands what must outlast this process to the store.
 func (n *Node) remember() {
 	if n.store != nil {
-		n.store.Remember(n.backend.departure())
+		n.store.Remember(n.backend.departures())
 	}
 }
 
--- a/node/recall_test.go
+++ b/node/recall_test.go
@@ -17,21 +17,21 @@
 	nodeDirectory
 	release chan struct{}
 	mu      sync.Mutex
-	kept    edge.Departure
+	kept    edge.Departures
 }
 
-func (s *blockedStore) Recall(ctx context.Context) (edge.Departure, error) {
+func (s *blockedStore) Recall(ctx context.Context) (edge.Departures, error) {
 	select {
 	case <-s.release:
 	case <-ctx.Done():
-		return edge.Departure{}, ctx.Err()
+		return edge.Departures{}, ctx.Err()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.kept, nil
 }
 
-func (s *blockedStore) Remember(d edge.Departure) {
+func (s *blockedStore) Remember(d edge.Departures) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.kept = d
@@ -46,7 +46,7 @@
 }
 
 // startProcess starts a process. What kept holds was stored by an earlier one.
-func startProcess(t *testing.T, kept edge.Departure) *process {
+func startProcess(t *testing.T, kept edge.Departures) *process {
 	f := newFleet(t, "shop")
 	p := &process{store: &blockedStore{nodeDirectory: nodeDirectory{f.directory, "shop-1"}, release: make(chan struct{}), kept: kept}}
 	f.configure = func(cfg *Config) { cfg.Directory = p.store }
@@ -106,7 +106,7 @@
 		"draining":            func(ctx context.Context, p *process) error { return p.Announce(ctx, announcement(7, 4, "draining")) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := startProcess(t, edge.Departure{})
+			p := startProcess(t, edge.Departures{})
 			p.hold(t, announcement(7, 3, "serving"))
 			ctx, left := newWaitingContext(), make(chan error, 1)
 			go func() { left <- leave(ctx, p) }()
@@ -124,7 +124,7 @@
 // Guards against an announcement that was held back and undoes a later one, which was
 // waiting when both were let through and is not ordered against it by a sequence.
 func TestHeldAnnouncementComesFirst(t *testing.T) {
-	p := startProcess(t, edge.Departure{})
+	p := startProcess(t, edge.Departures{})
 	p.hold(t, announcement(0, 0, "serving"))
 	applied := false
 	p.recalled.open(func(held *heldAnnouncement) {
