directory, node: only the store says what an earlier process has stored

Cause: a node that starts while the store is down took its own row from another node, which had not read the last change, for what it had stored. When the store was back it replaced its row without reading the departure in it. Evidence: 'endpoints_learned' and 'backend_recalled started=0' in one millisecond while the store is down.

A node now recalls from the store only, if need be through another node that reaches it, and writes its row only over a version whose departures it keeps. If no node reaches the store, announcements are applied after 10 s, when they cannot be from before the start; a server that turns out to have left is removed. So a living server is not lost in a data centre that is cut off.

Failed before: TestLeavingOutlastsOldCopy (200 for the late heartbeat), TestCopyOfOwnRowIsNotRecalled ('the copy was recalled'), TestDeparturesStayInOverwrittenRow (nothing recalled).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -57,7 +57,8 @@
 	version        uint64             // incremented by each call of apply, even if no row changed
 	storeReachable bool               // the latest read or watch of the store succeeded; true before the first one
 	loaded         bool               // all rows were read once, from the store or another node
-	ownRead        chan struct{}      // closed once the rows read first have been applied
+	recalled       edge.Departures    // departures in the own row as the store had it, from earlier processes
+	ownRead        chan struct{}      // closed once recalled is known
 	ownReadOnce    sync.Once          // guards the close of ownRead
 	seedAddress    string             // peers address passed to ObservePeer; used while no other member is known
 
@@ -183,46 +184,65 @@
 // writeOwn writes the own row once and returns false if the write has to be repeated.
 func (d *Directory) writeOwn(ctx context.Context) bool {
 	d.mu.Lock()
-	own, departures, changes := d.own, d.departures, d.changes
+	own, changes := d.own, d.changes
 	d.mu.Unlock()
 	if own == nil {
 		return true
 	}
-	value := newRowValue(*own, departures)
-	encoded, err := cbor.Marshal(&value)
-	if err != nil {
-		d.cfg.Log.Error(err, "endpoint_not_encoded")
-		return true
-	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	version, err := d.putOwn(ctx, encoded)
+	err := d.putOwn(ctx, own)
+	if store.ErrConflict.Has(err) {
+		// The row was written by an earlier process of this node, by another writer, or by
+		// a call whose response was lost.
+		if err = d.readOwn(ctx); err == nil {
+			err = d.putOwn(ctx, own)
+		}
+	}
 	if err != nil {
 		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
 		return false
 	}
 	d.noteStored(changes)
-	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", version)
+	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", d.ownVersion)
 	return true
 }
 
-// putOwn writes the own row if its version in the store is ownVersion. On a conflict
-// it reads the version and writes once more: the row was written by an earlier
-// process of this node or by a call whose response was lost.
-func (d *Directory) putOwn(ctx context.Context, value []byte) (uint64, error) {
-	key := RowPrefix + d.cfg.Node
-	version, err := d.cfg.Table.Put(ctx, key, d.ownVersion, value)
-	if store.ErrConflict.Has(err) {
-		row, getErr := d.cfg.Table.Get(ctx, key)
-		if getErr != nil {
-			return 0, getErr
-		}
-		version, err = d.cfg.Table.Put(ctx, key, row.Version, value)
+// putOwn writes the own row if its version in the store is ownVersion. What earlier
+// processes have stored of departures stays in it.
+func (d *Directory) putOwn(ctx context.Context, own *balancer.Endpoint) error {
+	d.mu.Lock()
+	value := newRowValue(*own, d.recalled.Merge(d.departures))
+	d.mu.Unlock()
+	encoded, err := cbor.Marshal(&value)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	version, err := d.cfg.Table.Put(ctx, RowPrefix+d.cfg.Node, d.ownVersion, encoded)
+	if err != nil {
+		return err
 	}
-	if err == nil {
-		d.ownVersion = version
+	if d.ownVersion == 0 {
+		d.noteOwnRow(nil)
+	}
+	d.ownVersion = version
+	return nil
+}
+
+// readOwn reads the version of the own row, 0 if there is none, and the departures in it.
+func (d *Directory) readOwn(ctx context.Context) error {
+	row, err := d.cfg.Table.Get(ctx, RowPrefix+d.cfg.Node)
+	switch {
+	case store.ErrNotFound.Has(err):
+		d.ownVersion = 0
+		d.noteOwnRow(nil)
+		return nil
+	case err != nil:
+		return err
 	}
-	return version, err
+	d.ownVersion = row.Version
+	d.noteOwnRow(row.Value)
+	return nil
 }
 
 // apply merges changed rows, and the node's own endpoint unless it is nil, and
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/directory"
+	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/store"
@@ -226,3 +227,95 @@
 	_, members = c.Members()
 	assert.Equal(t, len(members), 3)
 }
+
+// departed is what an earlier process of a node has stored.
+var departed = edge.Departures{
+	Newest: edge.Departure{Instance: "i1", Started: 7, Withdrawn: true},
+	Others: []edge.Departure{{Instance: "i2", Withdrawn: true, Received: 9}},
+}
+
+// storeDepartures lets a process of a node store departures and ends it.
+func (f *fleet) storeDepartures(node string) {
+	f.t.Helper()
+	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	d.Remember(departed)
+	d.Announce(endpoint(node, balancer.Serving))
+	assert.NilError(f.t, d.Flush(ctx))
+	cancel()
+	<-done
+}
+
+// newPeer returns the peers address of a node that serves h.
+func newPeer(t *testing.T, h http.Handler) string {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// startWithoutStore runs the directory of a node to which the store does not answer.
+func startWithoutStore(t *testing.T, node string) *directory.Directory {
+	outage := newFleet(t)
+	outage.standIn.SetFaults(standin.PlatformFaults{Down: true})
+	return outage.start(node)
+}
+
+// Guards against a copy of the own row from another node, which may be older than the last
+// departure, that counts as what an earlier process has stored.
+func TestCopyOfOwnRowIsNotRecalled(t *testing.T) {
+	f := newFleet(t)
+	f.start("a").Announce(endpoint("a", balancer.Serving))
+	f.start("c").Announce(endpoint("c", balancer.Serving))
+	other := f.start("other")
+	awaitStates(t, other, map[string]balancer.State{"a": balancer.Serving, "c": balancer.Serving})
+	peer := newPeer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery != "" { // the other node does not reach the store either
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		other.Handler().ServeHTTP(w, r)
+	}))
+	c := startWithoutStore(t, "c")
+	c.ObservePeer(peer)
+	awaitStates(t, c, map[string]balancer.State{"a": balancer.Serving, "c": balancer.Serving})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Recall(ctx)
+	assert.Assert(t, directory.Error.Has(err), "the copy was recalled: %v", err)
+}
+
+// Guards against a node to which the store does not answer, and which therefore does not
+// learn what its earlier process has stored, although other nodes reach the store.
+func TestOwnRowIsReadThroughOtherNode(t *testing.T) {
+	f := newFleet(t)
+	f.storeDepartures("c")
+	for node, want := range map[string]edge.Departures{"c": departed, "without a row": {}} {
+		t.Run(node, func(t *testing.T) {
+			c := startWithoutStore(t, node)
+			other := f.start("other")
+			awaitStates(t, other, map[string]balancer.State{"c": balancer.Serving})
+			c.ObservePeer(newPeer(t, other.Handler()))
+			got, err := c.Recall(context.Background())
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, want)
+		})
+	}
+}
+
+// Guards against a departure that is lost because a new process of the node overwrites the
+// row of the earlier one before it has read it, or while it knows of none.
+func TestDeparturesStayInOverwrittenRow(t *testing.T) {
+	f := newFleet(t)
+	f.storeDepartures("c")
+	second := f.start("c")
+	second.Announce(endpoint("c", balancer.Starting))
+	assert.NilError(t, second.Flush(context.Background()))
+	got, err := second.Recall(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, departed)
+	got, err = f.start("c").Recall(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, departed)
+}
--- a/directory/fetch.go
+++ b/directory/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,27 +27,56 @@
 	fetchTimeout = time.Second
 	// maxFetchBytes limits the size of a response.
 	maxFetchBytes = 8 << 20
+	// nodeParameter of a request names the node whose row is to be read from the store.
+	nodeParameter = "node"
 )
 
+// currentRow is what the store says of the row of one node.
+type currentRow struct {
+	Found bool   `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint,omitempty"`
+}
+
 // Handler responds with the rows that this node knows, as a CBOR array of store.Row, or
-// with 404 until all rows were read once.
+// with 404 until all rows were read once. If the query names a node, it reads that node's
+// row from the store and responds with a currentRow, or with 503 if it cannot.
 func (d *Directory) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if node := r.URL.Query().Get(nodeParameter); node != "" {
+			d.serveCurrentRow(w, r, node)
+			return
+		}
 		rows, loaded := d.storedRows()
 		if !loaded {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		raw, err := cbor.Marshal(rows)
-		if err != nil {
-			d.cfg.Log.Error(err, "endpoints_not_encoded")
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(raw) // a write error means that the client has disconnected
+		d.respond(w, rows)
 	})
 }
 
+func (d *Directory) serveCurrentRow(w http.ResponseWriter, r *http.Request, node string) {
+	ctx, cancel := context.WithTimeout(r.Context(), fetchTimeout)
+	defer cancel()
+	row, err := d.cfg.Table.Get(ctx, RowPrefix+node)
+	if err != nil && !store.ErrNotFound.Has(err) {
+		d.cfg.Log.Info("endpoint_not_read", "node", node, "error", err.Error())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.respond(w, currentRow{Found: err == nil, Value: row.Value})
+}
+
+func (d *Directory) respond(w http.ResponseWriter, v any) {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		d.cfg.Log.Error(err, "endpoints_not_encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // a write error means that the client has disconnected
+}
+
 // storedRows returns the rows that are in the store as far as this node knows, and
 // whether all rows were read once.
 func (d *Directory) storedRows() (rows []store.Row, loaded bool) {
@@ -106,10 +136,33 @@
 		latest = time.Now()
 		if err := d.fetchFrom(ctx, address); err != nil {
 			d.cfg.Log.Info("endpoints_not_fetched", "from", address, "error", err.Error())
+			continue
+		}
+		if !d.knowsOwnRow() {
+			d.readOwnThrough(ctx, address)
 		}
 	}
 }
 
+// readOwnThrough lets the node at address read the own row from the store, which may answer
+// that node and not this one.
+func (d *Directory) readOwnThrough(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	path := EndpointsPath + "?" + url.Values{nodeParameter: {d.cfg.Node}}.Encode()
+	raw, err := nodecall.Do(ctx, d.cfg.Client, http.MethodGet, address, path, maxFetchBytes)
+	var row currentRow
+	if err == nil {
+		err = cbor.Unmarshal(raw, &row)
+	}
+	if err != nil {
+		d.cfg.Log.Info("own_endpoint_not_read", "through", address, "error", err.Error())
+		return
+	}
+	d.cfg.Log.Info("own_endpoint_read", "through", address, "found", row.Found)
+	d.noteOwnRow(row.Value)
+}
+
 // RandomPeer returns the peers address (ip:port) of a random other node, or "" if none
 // is known.
 func (d *Directory) RandomPeer() string {
@@ -148,6 +201,5 @@
 		d.cfg.Log.Info("endpoints_learned", "from", address, "rows", len(rows))
 	}
 	d.apply(rows, nil)
-	d.ownReadOnce.Do(func() { close(d.ownRead) })
 	return nil
 }
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -46,6 +46,7 @@
 		}
 		d.setStoreReachable(true, nil)
 		if !synced {
+			d.noteOwnRow(d.findOwn(changes.Rows))
 			changes.Rows = append(changes.Rows, d.removals(changes)...)
 			d.mu.Lock()
 			d.loaded = true
@@ -53,7 +54,6 @@
 		}
 		revision, synced = changes.Revision, true
 		d.apply(changes.Rows, nil)
-		d.ownReadOnce.Do(func() { close(d.ownRead) })
 		if len(changes.Rows) > 0 {
 			pause.For(ctx, d.delayAfterChange())
 		}
--- a/edge/departure.go
+++ b/edge/departure.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/zeebo/errs"
@@ -27,6 +28,9 @@
 	Received int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// MaxOtherDepartures limits Departures.Others.
+const MaxOtherDepartures = 16
+
 // Departures are what a node stores of the starts that take no new requests.
 type Departures struct {
 	Newest Departure   // newest start that left, among those known to the node
@@ -41,6 +45,22 @@
 // IsZero reports whether d contains no departure.
 func (d Departures) IsZero() bool { return d.Equal(Departures{}) }
 
+// Merge returns what d and other say together. If both know a departure of an instance in
+// Others, the one received later is kept.
+func (d Departures) Merge(other Departures) Departures {
+	merged := Departures{Newest: d.Newest.Merge(other.Newest)}
+	all := slices.Concat(d.Others, other.Others)
+	slices.SortStableFunc(all, func(a, b Departure) int { return cmp.Compare(a.Received, b.Received) })
+	for i, o := range all {
+		sameInstance := func(later Departure) bool { return later.Instance == o.Instance }
+		if !slices.ContainsFunc(all[i+1:], sameInstance) {
+			merged.Others = append(merged.Others, o)
+		}
+	}
+	merged.Others = merged.Others[max(0, len(merged.Others)-MaxOtherDepartures):]
+	return merged
+}
+
 // Merge returns what d and other say together: the newer start, or of the same start the
 // higher sequence and whether either was withdrawn.
 func (d Departure) Merge(other Departure) Departure {
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"fmt"
 	"math"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,3 +142,75 @@
 	shop.announce("ready")
 	shop.awaitServing("read.example")
 }
+
+// refusingStore passes requests on to the store, or answers 503 while it refuses.
+type refusingStore struct {
+	store   http.Handler
+	refuses atomic.Bool
+}
+
+func (s *refusingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.refuses.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.store.ServeHTTP(w, r)
+}
+
+// refusableHost starts a host whose node reaches the store through a refusingStore.
+func (f *fleet) refusableHost(name, service string) (*host, *refusingStore) {
+	s := &refusingStore{store: f.standIn.Handler()}
+	srv := httptest.NewServer(s)
+	f.t.Cleanup(srv.CloseClientConnections)
+	store := f.url
+	f.url = srv.URL
+	defer func() { f.url = store }()
+	return f.host(name, service), s
+}
+
+// Guards against a backend server that has left and is in use again, because its node was
+// restarted while the store was away and took an old copy of its row, from another node,
+// for what it had stored; and against the row being replaced by one without the departure.
+func TestLeavingOutlastsOldCopy(t *testing.T) {
+	f := newFleet(t)
+	leaving, store := f.refusableHost("shop-1", "shop")
+	other, storeOfOther := f.refusableHost("shop-2", "shop")
+	f.configure(4, farm)
+	leaving.born = time.Now().UnixMilli()
+	leaving.announce("ready")
+	for _, h := range []*host{leaving, other} {
+		h.awaitServing("read.example")
+		h.awaitEndpoints("shop", 2)
+	}
+	late := leaving.sequence.Load()
+
+	storeOfOther.refuses.Store(true)
+	waitUntil(t, func() string {
+		if other.sidecar.config.Reachable() {
+			return "the other node has not noticed that the store refuses"
+		}
+		return ""
+	})
+	assert.Equal(t, leaving.deregister(), http.StatusOK)
+	leaving.stop()
+	store.refuses.Store(true)
+	leaving.start()
+	leaving.sidecar.directory.ObservePeer(other.sidecar.settings.Addresses.Advertised())
+	leaving.awaitEndpoints("shop", 2) // an old copy of both rows
+	assert.Equal(t, leaving.sendHeartbeat(late, "ready"), http.StatusServiceUnavailable)
+
+	store.refuses.Store(false)
+	storeOfOther.refuses.Store(false)
+	waitUntil(t, func() string {
+		if status := leaving.sendHeartbeat(late, "ready"); status != http.StatusOK {
+			return fmt.Sprintf("status %d", status)
+		}
+		return ""
+	})
+	leaving.requireLeft(late)
+	leaving.stop()
+	leaving.start()
+	leaving.requireLeft(late)
+	leaving.born++
+	leaving.requireUsed()
+}
--- a/node/backend.go
+++ b/node/backend.go
@@ -97,19 +97,23 @@
 }
 
 // applyAnnouncement applies a valid announcement and reports whether it changed the
-// backend server, or was outdated and has no effect.
-func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) (changed, outdated bool) {
+// backend server, or was outdated and has no effect. The error is of class
+// edge.ErrNotStored if it says that the backend server leaves and that cannot be recorded;
+// it then has no effect.
+func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) (changed, outdated bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outdated(&a, now) {
-		return false, true
+		return false, true, nil
+	}
+	if err := t.departed.noteDraining(&a, now); err != nil {
+		return false, false, err
 	}
 	t.latest = a
-	t.departed.noteDraining(&a, now)
 	t.lastAnnounced.Store(t.since(now))
 	old := t.current.Load()
 	if old != nil && equalExceptSequence(old.Announcement, a) {
-		return false, false
+		return false, false, nil
 	}
 	b := &backendServer{Announcement: a, state: edge.States[a.State]}
 	if old == nil {
@@ -122,7 +126,7 @@
 	if old != nil && old.conns != b.conns {
 		old.conns.close()
 	}
-	return true, false
+	return true, false, nil
 }
 
 // inheritFrom sets up the connection pool and the admission control of b. It reuses
@@ -174,11 +178,19 @@
 	return removed, err
 }
 
-// recall adds what an earlier process of this node has stored.
-func (t *backendTracker) recall(stored edge.Departures, now time.Time) {
+// recall adds what an earlier process of this node has stored. It removes the backend
+// server if that has left, and reports whether it did.
+func (t *backendTracker) recall(stored edge.Departures, now time.Time) (removed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.departed.recall(stored, now)
+	b := t.current.Load()
+	if b == nil || !t.departed.outdates(&t.latest, now) {
+		return false
+	}
+	t.current.Store(nil)
+	b.conns.close()
+	return true
 }
 
 // departures returns the starts that take no new requests.
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -23,8 +23,8 @@
 
 // apply applies an announcement and reports whether it changed the backend server.
 func apply(tracker *backendTracker, a edge.Announcement, now time.Time) bool {
-	changed, _ := tracker.applyAnnouncement(a, admission.Config{}, now)
-	return changed
+	changed, _, err := tracker.applyAnnouncement(a, admission.Config{}, now)
+	return changed && err == nil
 }
 
 // Guards against an announcement that expires, or a drain signal that lasts or ends, when
--- a/node/config.go
+++ b/node/config.go
@@ -35,6 +35,8 @@
 	// DefaultShutdownDelay lets the other nodes learn of a planned stop before the
 	// servers shut down.
 	DefaultShutdownDelay = 500 * time.Millisecond
+	// DefaultRecallTimeout is longer than an announcement may be delayed.
+	DefaultRecallTimeout = 10 * time.Second
 	// DefaultMaxRequests is several times the number of connections of one backend
 	// server. Each request uses at most about 100 KB, so it also bounds memory.
 	DefaultMaxRequests = 2048
@@ -105,6 +107,11 @@
 	// AnnouncementLifetime is how long an announcement is valid after it was
 	// received; default 3 s.
 	AnnouncementLifetime time.Duration
+	// RecallTimeout is how long after its start a node applies no announcements unless it
+	// knows what an earlier process has stored (see BackendStore). Announcements that
+	// arrive later were sent by a backend server that had not left before the start;
+	// default 10 s.
+	RecallTimeout time.Duration
 	// DrainDelay is how long a stopping node still accepts new requests after it has
 	// announced that it is draining; default 0.
 	DrainDelay    time.Duration
@@ -152,6 +159,9 @@
 	if c.BodyIdleTimeout == 0 {
 		c.BodyIdleTimeout = DefaultBodyIdleTimeout
 	}
+	if c.RecallTimeout == 0 {
+		c.RecallTimeout = DefaultRecallTimeout
+	}
 	if c.ShutdownDelay == 0 {
 		c.ShutdownDelay = DefaultShutdownDelay
 	}
--- a/node/departures.go
+++ b/node/departures.go
@@ -16,9 +16,6 @@
 	// seen. Backend servers end, and late announcements arrive, within seconds of it. An
 	// announcement after that is one of a backend server whose clock was set back.
 	otherDepartureLifetime = time.Minute
-	// maxOtherDepartures limits the departures of one host within otherDepartureLifetime
-	// whose starts the node has not seen.
-	maxOtherDepartures = 16
 )
 
 // departures are the starts of backend servers on this host that take no new requests. It
@@ -52,18 +49,17 @@
 	return a.Started <= last && (o.Withdrawn || a.Sequence < o.Sequence)
 }
 
-// noteDraining records that the start of a, which was just applied, drains.
-func (d *departures) noteDraining(a *edge.Announcement, now time.Time) {
+// noteDraining records that a start drains if a says so. The error is of class
+// edge.ErrNotStored.
+func (d *departures) noteDraining(a *edge.Announcement, now time.Time) error {
 	switch {
 	case edge.States[a.State] != balancer.Draining:
-	case a.Started != 0:
-		if a.Started != d.newest.Started {
-			d.newest = edge.Departure{Instance: a.Instance, Started: a.Started, Sequence: a.Sequence}
-		}
-	case a.Sequence != 0 && !d.hasOther(a.Instance, now):
-		// If there is no room, late announcements are told apart by this process only.
-		_ = d.addOther(edge.Departure{Instance: a.Instance, Sequence: a.Sequence}, now)
+	case a.Started != 0 && a.Started != d.newest.Started:
+		d.newest = edge.Departure{Instance: a.Instance, Started: a.Started, Sequence: a.Sequence}
+	case a.Started == 0 && a.Sequence != 0 && !d.hasOther(a.Instance, now):
+		return d.addOther(edge.Departure{Instance: a.Instance, Sequence: a.Sequence}, now)
 	}
+	return nil
 }
 
 // noteWithdrawn records that a known start was withdrawn.
@@ -89,7 +85,7 @@
 	d.others = slices.DeleteFunc(d.others, func(other otherDeparture) bool {
 		return other.Instance == o.Instance || now.Sub(other.at) > otherDepartureLifetime
 	})
-	if len(d.others) >= maxOtherDepartures {
+	if len(d.others) >= edge.MaxOtherDepartures {
 		return edge.ErrNotStored.New("%d unknown backend servers have left within %v", len(d.others), otherDepartureLifetime)
 	}
 	o.Received = now.UnixMilli()
@@ -112,7 +108,7 @@
 		}
 	}
 	recalled = append(recalled, d.others...)
-	d.others = recalled[max(0, len(recalled)-maxOtherDepartures):]
+	d.others = recalled[max(0, len(recalled)-edge.MaxOtherDepartures):]
 }
 
 // stored returns what has to be stored.
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -102,7 +102,7 @@
 func TestDeparturesOfUnknownServersAreLimited(t *testing.T) {
 	now := time.Now()
 	var d departures
-	for i := range maxOtherDepartures {
+	for i := range edge.MaxOtherDepartures {
 		assert.NilError(t, d.noteUnseen(fmt.Sprintf("i%d", i), 0, now))
 	}
 	assert.Assert(t, edge.ErrNotStored.Has(d.noteUnseen("next", 0, now)))
--- a/node/interfaces.go
+++ b/node/interfaces.go
@@ -66,12 +66,15 @@
 
 // BackendStore may be implemented by a Directory whose rows outlast the process. A node
 // with one acknowledges that its backend server leaves only once that is stored, and
-// applies no announcement before it knows what an earlier process has stored.
+// applies no announcement before it knows what an earlier process has stored or
+// Config.RecallTimeout has passed.
 type BackendStore interface {
-	// Recall returns what an earlier process of this node has stored. It waits until that
-	// is known, and returns an error only if ctx ends.
+	// Recall returns what earlier processes of this node have stored. It waits until that
+	// is known. It returns an error only if ctx ends, with what is known by then, which
+	// may be old.
 	Recall(ctx context.Context) (edge.Departures, error)
-	// Remember adds d to what the next write stores. It does not block.
+	// Remember makes the next write store d, beside what earlier processes have stored. It
+	// does not block.
 	Remember(d edge.Departures)
 	// Flush waits until the endpoint announced last and what was remembered are stored.
 	// It returns an error only if ctx ends.
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	inFlight        gate
 	hopsInFlight    atomic.Int64
 	backgroundTasks sync.WaitGroup    // Stop waits for them
+	rememberMu      sync.Mutex        // serialises remember
 	publishMu       sync.Mutex        // guards published
 	published       balancer.Endpoint // endpoint last announced to the directory
 	servers         []*http.Server
--- a/node/recall.go
+++ b/node/recall.go
@@ -69,10 +69,13 @@
 }
 
 // open calls apply for the newest announcement that was held back, if any, and lets others
-// pass only then: each call that waited comes after it.
+// pass only then: each call that waited comes after it. It has no effect the second time.
 func (g *recallGate) open(apply func(*heldAnnouncement)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isOpen() {
+		return
+	}
 	if g.pending != nil {
 		apply(g.pending)
 	}
@@ -80,21 +83,53 @@
 }
 
 // recall learns what an earlier process of this node has stored about its backend server,
-// and then applies the newest announcement that arrived meanwhile. It returns when ctx
-// ends.
+// and then applies the newest announcement that arrived meanwhile. After RecallTimeout new
+// announcements pass without that. It returns when it is known, or ctx ends.
 func (n *Node) recall(ctx context.Context) {
-	stored, err := n.store.Recall(ctx)
+	limited, cancel := context.WithTimeout(ctx, n.cfg.RecallTimeout)
+	stored, err := n.store.Recall(limited)
+	cancel()
+	if err != nil && ctx.Err() == nil {
+		n.log.event("recall_timed_out", "error", err.Error())
+		n.applyRecalled(stored)
+		n.recalled.open(n.applyHeldDrain)
+		stored, err = n.store.Recall(ctx)
+	}
 	if err != nil {
 		return // the node stops
 	}
-	n.backend.recall(stored, n.now())
+	n.applyRecalled(stored)
+	n.recalled.open(n.applyHeld)
+}
+
+// applyRecalled adds departures that an earlier process has stored. The backend server is
+// removed if it is one of them.
+func (n *Node) applyRecalled(stored edge.Departures) {
+	removed := n.backend.recall(stored, n.now())
 	n.remember()
-	n.log.event("backend_recalled", append(departureFields(n.backend.departures()), "stored_started", stored.Newest.Started)...)
-	n.recalled.open(func(held *heldAnnouncement) {
-		if n.now().Sub(held.at) < n.cfg.AnnouncementLifetime {
-			n.applyAnnouncement(&held.Announcement)
-		}
-	})
+	if removed {
+		n.publish()
+	}
+	n.log.event("backend_recalled", append(departureFields(n.backend.departures()),
+		"stored_started", stored.Newest.Started, "removed", removed)...)
+}
+
+// applyHeld applies an announcement that was held back, unless it has expired.
+func (n *Node) applyHeld(held *heldAnnouncement) {
+	if n.now().Sub(held.at) >= n.cfg.AnnouncementLifetime {
+		return
+	}
+	if err := n.applyAnnouncement(&held.Announcement); err != nil {
+		n.log.event("backend_not_acknowledged", "instance", held.Instance, "error", err.Error())
+	}
+}
+
+// applyHeldDrain applies an announcement that was held back if it says that the backend
+// server drains. Another one may be from before a departure that is not known.
+func (n *Node) applyHeldDrain(held *heldAnnouncement) {
+	if edge.States[held.State] == balancer.Draining {
+		n.applyHeld(held)
+	}
 }
 
 // Announce applies an announcement of the backend server on this host. If it is not
@@ -109,26 +144,32 @@
 		n.log.sampled("announcement_held", "instance", a.Instance, "started", a.Started, "sequence", a.Sequence, "state", a.State)
 		return err
 	}
-	n.applyAnnouncement(&a)
+	if err := n.applyAnnouncement(&a); err != nil {
+		return err
+	}
 	if edge.States[a.State] != balancer.Draining {
 		return nil
 	}
+	n.remember()
 	return n.flush(ctx)
 }
 
-func (n *Node) applyAnnouncement(a *edge.Announcement) {
-	changed, outdated := n.backend.applyAnnouncement(*a, n.cfg.Admission, n.now())
+// applyAnnouncement returns an error of class edge.ErrNotStored if a has no effect because a
+// departure cannot be recorded.
+func (n *Node) applyAnnouncement(a *edge.Announcement) error {
+	changed, outdated, err := n.backend.applyAnnouncement(*a, n.cfg.Admission, n.now())
 	if outdated {
 		n.log.sampled("announcement_ignored", append([]any{"instance", a.Instance, "started", a.Started, "sequence", a.Sequence,
 			"state", a.State}, departureFields(n.backend.departures())...)...)
 	}
 	if !changed {
-		return
+		return err
 	}
 	n.log.event("backend_announced", "service", a.Service, "address", a.Address, "state", a.State, "slots", a.Slots,
 		"connections", a.Connections, "instance", a.Instance, "started", a.Started, "sequence", a.Sequence)
 	n.remember()
 	n.publish()
+	return nil
 }
 
 // Withdraw removes the backend server on this host if it has the given instance ID
@@ -174,11 +215,15 @@
 	return fields
 }
 
-// remember hands what must outlast this process to the store.
+// remember hands what must outlast this process to the store. Calls are serialised, so that
+// no older state replaces a newer one.
 func (n *Node) remember() {
-	if n.store != nil {
-		n.store.Remember(n.backend.departures())
+	if n.store == nil {
+		return
 	}
+	n.rememberMu.Lock()
+	defer n.rememberMu.Unlock()
+	n.store.Remember(n.backend.departures())
 }
 
 // flush waits until what the node has remembered and published is stored.
--- a/node/recall_test.go
+++ b/node/recall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,19 +17,18 @@
 type blockedStore struct {
 	nodeDirectory
 	release chan struct{}
+	stored  edge.Departures // by an earlier process
 	mu      sync.Mutex
-	kept    edge.Departures
+	kept    edge.Departures // remembered last
 }
 
 func (s *blockedStore) Recall(ctx context.Context) (edge.Departures, error) {
 	select {
 	case <-s.release:
+		return s.stored, nil
 	case <-ctx.Done():
 		return edge.Departures{}, ctx.Err()
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.kept, nil
 }
 
 func (s *blockedStore) Remember(d edge.Departures) {
@@ -37,6 +37,12 @@
 	s.kept = d
 }
 
+func (s *blockedStore) remembered() edge.Departures {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept
+}
+
 func (s *blockedStore) Flush(context.Context) error { return nil }
 
 // process is a process of a node whose listeners are not served.
@@ -45,11 +51,11 @@
 	store *blockedStore
 }
 
-// startProcess starts a process. What kept holds was stored by an earlier one.
-func startProcess(t *testing.T, kept edge.Departures) *process {
+// startProcess starts a process. An earlier one has stored departures.
+func startProcess(t *testing.T, stored edge.Departures) *process {
 	f := newFleet(t, "shop")
-	p := &process{store: &blockedStore{nodeDirectory: nodeDirectory{f.directory, "shop-1"}, release: make(chan struct{}), kept: kept}}
-	f.configure = func(cfg *Config) { cfg.Directory = p.store }
+	p := &process{store: &blockedStore{nodeDirectory: nodeDirectory{f.directory, "shop-1"}, release: make(chan struct{}), stored: stored}}
+	f.configure = func(cfg *Config) { cfg.Directory, cfg.RecallTimeout = p.store, time.Millisecond }
 	p.Node = f.newNode("shop-1").node
 	return p
 }
@@ -135,3 +141,49 @@
 	assert.Assert(t, applied)
 	assert.Assert(t, p.recalled.isOpen())
 }
+
+// Guards against a node beside a living backend server that does not use it for as long as
+// the store is away, against one that then uses what was held back, which may be from before
+// a departure, and against a server that stays in use although an earlier process has stored
+// that it left.
+func TestRecallTimesOut(t *testing.T) {
+	for name, stored := range map[string]edge.Departures{
+		"lives":          {},
+		"left":           {Newest: edge.Departure{Instance: "i1", Started: 7, Withdrawn: true}},
+		"left, no start": {Others: []edge.Departure{{Instance: "i1", Withdrawn: true, Received: time.Now().UnixMilli()}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startProcess(t, stored)
+			p.hold(t, announcement(7, 3, "serving"))
+			recalled := make(chan struct{})
+			go func() { defer close(recalled); p.recall(context.Background()) }()
+			waitFor(t, p.recalled.isOpen)
+			p.requireUnused(t)
+			assert.NilError(t, p.Announce(context.Background(), announcement(7, 4, "serving")))
+			_, refused := p.backend.usable("shop", p.now())
+			assert.Assert(t, refused == nil, "a living server is not used: %v", refused)
+
+			close(p.store.release)
+			<-recalled
+			b, _ := p.backend.usable("shop", p.now())
+			assert.Equal(t, b != nil, stored.IsZero())
+			assert.Assert(t, p.store.remembered().Equal(stored))
+			assert.NilError(t, p.Announce(context.Background(), announcement(time.Now().UnixMilli()+1, 1, "serving")))
+			_, refused = p.backend.usable("shop", p.now())
+			assert.Assert(t, refused == nil, "a new start is not used: %v", refused)
+		})
+	}
+}
+
+// Guards against a draining server that is in use because its announcement was held back
+// when the recall timed out.
+func TestHeldDrainOutlastsRecallTimeout(t *testing.T) {
+	p := startProcess(t, edge.Departures{})
+	p.hold(t, announcement(7, 4, "draining"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.recall(ctx)
+	waitFor(t, p.recalled.isOpen)
+	assert.NilError(t, p.Announce(context.Background(), announcement(7, 3, "serving")))
+	p.requireUnused(t)
+}
