edge: a departure outdates announcements with the sequence 0 too

A backend server whose heartbeats count from 0 could be used again after it had left, when the first of them arrived late: a sequence of 0 counted as none, and was not ordered.

A departure of a known start now outdates all its announcements, or those from before the first 'draining' one, whatever their sequence. TestFirstAnnouncementAfterDraining and all six cases of TestWithdrawnBackendStaysAway failed before.

--- a/edge/departure.go
+++ b/edge/departure.go
@@ -82,7 +82,7 @@
 // is known.
 func (d Departure) Outdates(a *Announcement) bool {
 	switch {
-	case a.Started == 0 || a.Sequence == 0 || d.Started == 0:
+	case a.Started == 0 || d.Started == 0:
 		return false
 	case a.Started != d.Started:
 		return a.Started < d.Started
--- a/node/backend_test.go
+++ b/node/backend_test.go
@@ -114,10 +114,12 @@
 			tc.before(&tracker)
 			_, err := tracker.withdraw(a.Instance, tc.started, now)
 			assert.NilError(t, err)
-			late := a
-			late.Sequence++
-			assert.Assert(t, !apply(&tracker, late, now))
-			assert.Assert(t, tracker.current.Load() == nil)
+			for _, sequence := range []uint64{0, a.Sequence + 1} { // 0: of a server that counts from there
+				late := a
+				late.Sequence = sequence
+				assert.Assert(t, !apply(&tracker, late, now))
+				assert.Assert(t, tracker.current.Load() == nil)
+			}
 			next := a
 			next.Started = tc.next
 			assert.Assert(t, apply(&tracker, next, now))
@@ -126,3 +128,16 @@
 		})
 	}
 }
+
+// Guards against a backend server that drains and is used again, also by a new process,
+// after its first announcement, which is late and whose sequence is 0.
+func TestFirstAnnouncementAfterDraining(t *testing.T) {
+	now := time.Now()
+	tracker := backendTracker{lifetime: time.Second, epoch: now}
+	assert.Assert(t, apply(&tracker, announcement(7, 3, "draining"), now))
+	assert.Assert(t, !apply(&tracker, announcement(7, 0, "serving"), now))
+	restarted := backendTracker{lifetime: time.Second, epoch: now}
+	restarted.recall(tracker.departures(), now)
+	assert.Assert(t, !apply(&restarted, announcement(7, 0, "serving"), now))
+	assert.Assert(t, apply(&restarted, announcement(8, 0, "serving"), now))
+}
