node: a start that the process has not seen leaves under an ID that it has

A backend server that had left could be used again: its ID belonged to an older start that the process had seen, the call named no start, and was taken for the older one's departure. The late first announcement of the newer start then made it serve.

Found by TestDepartureInEveryOrder, a model of one server, its node and the store around the product's decision code: 'new start', 'send late', 'withdraw', 'late arrives'.

A call that names no start now applies to every start of the ID up to its receipt, also if an older one is known. That covers an announcement that was held back, so the second withdrawal after the wait is removed.

--- a/node/backend.go
+++ b/node/backend.go
@@ -159,23 +159,25 @@
 func (t *backendTracker) withdraw(instance string, started int64, now time.Time) (removed bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := t.current.Load()
+	left := started
 	if started == 0 && t.latest.Instance == instance {
-		started = t.latest.Started
-	}
-	removed = b != nil && b.Instance == instance && b.Started == started
-	if started != 0 && (removed || b == nil || started < b.Started) {
-		t.departed.noteWithdrawn(instance, started)
-	} else {
-		// It was announced to an earlier process of this node, or never. A backend server
-		// that is in use must not count as older than it.
-		err = t.departed.noteUnseen(instance, started, now)
+		left = t.latest.Started
 	}
+	b := t.current.Load()
+	removed = b != nil && b.Instance == instance && b.Started == left
 	if removed {
 		t.current.Store(nil)
 		b.conns.close()
 	}
-	return removed, err
+	// A backend server that stays in use must not count as older than one that has left.
+	known := left != 0 && (removed || b == nil || left < b.Started)
+	if known {
+		t.departed.noteWithdrawn(instance, left)
+	}
+	if known && started != 0 {
+		return removed, nil
+	}
+	return removed, t.departed.noteUnseen(instance, started, now)
 }
 
 // recall adds what an earlier process of this node has stored. It removes the backend
--- a/node/recall.go
+++ b/node/recall.go
@@ -48,17 +48,6 @@
 	}
 }
 
-// heldStart returns the start (Unix milliseconds) of an instance whose announcement is held
-// back, or 0.
-func (g *recallGate) heldStart(instance string) int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.pending == nil || g.pending.Instance != instance {
-		return 0
-	}
-	return g.pending.Started
-}
-
 func (g *recallGate) isOpen() bool {
 	select {
 	case <-g.done:
@@ -177,33 +166,20 @@
 // edge.ErrNotStored means that ctx ended before that was stored; the withdrawal is in
 // force in this process, but has to be repeated. It is safe for concurrent use.
 func (n *Node) Withdraw(ctx context.Context, instance string, started int64) error {
-	open := n.recalled.isOpen()
-	if started == 0 && !open {
-		started = n.recalled.heldStart(instance)
-	}
-	err := n.withdraw(instance, started)
-	if !open {
-		if waitErr := n.recalled.waitOpen(ctx); waitErr != nil {
-			return waitErr
-		}
-		// An announcement that was held back may have been applied since.
-		err = n.withdraw(instance, started)
-	}
-	n.remember()
-	n.publish()
+	removed, err := n.backend.withdraw(instance, started, n.now())
+	n.log.sampled("backend_withdrawn", append([]any{"instance", instance, "started", started, "removed", removed},
+		departureFields(n.backend.departures())...)...)
 	if err != nil {
 		return err
 	}
+	if err := n.recalled.waitOpen(ctx); err != nil {
+		return err
+	}
+	n.remember()
+	n.publish()
 	return n.flush(ctx)
 }
 
-func (n *Node) withdraw(instance string, started int64) error {
-	removed, err := n.backend.withdraw(instance, started, n.now())
-	n.log.sampled("backend_withdrawn", append([]any{"instance", instance, "started", started, "removed", removed},
-		departureFields(n.backend.departures())...)...)
-	return err
-}
-
 // departureFields returns the fields of a log line that say which starts have left.
 func departureFields(d edge.Departures) []any {
 	fields := []any{"departed_instance", d.Newest.Instance, "departed_started", d.Newest.Started,
