node: a held announcement that says draining does not expire

If the recall took longer than an announcement is valid, a held 'draining' one was dropped as expired, and a late earlier one put the server into use although it had said that it drains.

TestHeldDrainDoesNotExpire failed before in both cases ('in use').

--- a/node/recall.go
+++ b/node/recall.go
@@ -23,6 +23,8 @@
 	at time.Time // of its arrival
 }
 
+func (h *heldAnnouncement) drains() bool { return edge.States[h.State] == balancer.Draining }
+
 // wait returns an error if ctx ends before announcements may be applied. a, which arrived at
 // the time now, is then kept for open.
 func (g *recallGate) wait(ctx context.Context, a *edge.Announcement, now time.Time) error {
@@ -103,9 +105,10 @@
 		"stored_started", stored.Newest.Started, "removed", removed)...)
 }
 
-// applyHeld applies an announcement that was held back, unless it has expired.
+// applyHeld applies an announcement that was held back. One that says that the backend server
+// drains does not expire.
 func (n *Node) applyHeld(held *heldAnnouncement) {
-	if n.now().Sub(held.at) >= n.cfg.AnnouncementLifetime {
+	if !held.drains() && n.now().Sub(held.at) >= n.cfg.AnnouncementLifetime {
 		return
 	}
 	if err := n.applyAnnouncement(&held.Announcement); err != nil {
@@ -116,7 +119,7 @@
 // applyHeldDrain applies an announcement that was held back if it says that the backend
 // server drains. Another one may be from before a departure that is not known.
 func (n *Node) applyHeldDrain(held *heldAnnouncement) {
-	if edge.States[held.State] == balancer.Draining {
+	if held.drains() {
 		n.applyHeld(held)
 	}
 }
--- a/node/recall_test.go
+++ b/node/recall_test.go
@@ -176,15 +176,22 @@
 	}
 }
 
-// Guards against a draining server that is in use because its announcement was held back
-// when the recall timed out.
-func TestHeldDrainOutlastsRecallTimeout(t *testing.T) {
-	p := startProcess(t, edge.Departures{})
-	p.hold(t, announcement(7, 4, "draining"))
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go p.recall(ctx)
-	waitFor(t, p.recalled.isOpen)
-	assert.NilError(t, p.Announce(context.Background(), announcement(7, 3, "serving")))
-	p.requireUnused(t)
+// Guards against a draining server that is in use after a late announcement, because the one
+// that said so was held back, for longer than announcements are valid or until the recall
+// timed out.
+func TestHeldDrainDoesNotExpire(t *testing.T) {
+	for name, apply := range map[string]func(*process){
+		"recalled":  func(p *process) { p.recalled.open(p.applyHeld) },
+		"timed out": func(p *process) { p.recalled.open(p.applyHeldDrain) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startProcess(t, edge.Departures{})
+			p.hold(t, announcement(7, 4, "draining"))
+			p.cfg.AnnouncementLifetime = 0
+			apply(p)
+			p.cfg.AnnouncementLifetime = DefaultAnnouncementLifetime
+			assert.NilError(t, p.Announce(context.Background(), announcement(7, 3, "serving")))
+			p.requireUnused(t)
+		})
+	}
 }
