node: the drain of an older start is recorded

A server that drains beside a newer one on its host could get requests again after a restart of the node: its 'draining' announcement is older than the newer start, so it was acknowledged and had no effect at all.

It is recorded for its instance, and the endpoint is published before the node waits for the store. TestDepartureBesideServerInUse ('older drains': used after a restart) and TestOutdatedDrainIsStored failed before.

--- a/node/backend.go
+++ b/node/backend.go
@@ -98,13 +98,13 @@
 
 // applyAnnouncement applies a valid announcement and reports whether it changed the
 // backend server, or was outdated and has no effect. The error is of class
-// edge.ErrNotStored if it says that the backend server leaves and that cannot be recorded;
-// it then has no effect.
+// edge.ErrNotStored if it says that a backend server leaves and that cannot be recorded; it
+// then has no effect.
 func (t *backendTracker) applyAnnouncement(a edge.Announcement, limits admission.Config, now time.Time) (changed, outdated bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outdated(&a, now) {
-		return false, true, nil
+		return false, true, t.departed.noteOutdatedDrain(&a, now)
 	}
 	if err := t.departed.noteDraining(&a, now); err != nil {
 		return false, false, err
--- a/node/departures.go
+++ b/node/departures.go
@@ -62,6 +62,15 @@
 	return nil
 }
 
+// noteOutdatedDrain records that a start drains if a says so, which has no other effect because a
+// later start is known. The error is of class edge.ErrNotStored.
+func (d *departures) noteOutdatedDrain(a *edge.Announcement, now time.Time) error {
+	if edge.States[a.State] != balancer.Draining || a.Started == 0 || a.Started == d.newest.Started || d.outdates(a, now) {
+		return nil
+	}
+	return d.addOther(edge.Departure{Instance: a.Instance, Started: a.Started, Sequence: a.Sequence}, now)
+}
+
 // noteWithdrawn records that a known start was withdrawn.
 func (d *departures) noteWithdrawn(instance string, started int64) {
 	d.newest = d.newest.Merge(edge.Departure{Instance: instance, Started: started, Withdrawn: true})
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/dotterelseam/dotterelseam/admission"
 	"github.com/dotterelseam/dotterelseam/edge"
 )
 
@@ -79,16 +80,31 @@
 // left, and against one that left while another was in use and is used after a restart.
 func TestDepartureBesideServerInUse(t *testing.T) {
 	now := time.Now()
-	for name, started := range map[string]int64{"no start": 0, "older": 3, "newer": 9} {
+	withdraw := func(started int64) func(*backendTracker) error {
+		return func(tracker *backendTracker) error {
+			removed, err := tracker.withdraw("i1", started, now)
+			assert.Assert(t, !removed)
+			return err
+		}
+	}
+	drain := func(tracker *backendTracker) error {
+		_, _, err := tracker.applyAnnouncement(announcement(3, 5, "draining"), admission.Config{}, now)
+		return err
+	}
+	for name, tc := range map[string]struct {
+		leave   func(*backendTracker) error
+		started int64 // of the server that leaves
+	}{
+		"no start": {withdraw(0), 1}, "older": {withdraw(3), 3}, "newer": {withdraw(9), 9}, "older drains": {drain, 3},
+	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := backendTracker{lifetime: time.Second, epoch: now}
-			inUse, late := announcement(5, 1, "serving"), announcement(max(started, 1), 4, "serving")
+			inUse, late := announcement(5, 1, "serving"), announcement(tc.started, 4, "serving")
 			inUse.Instance = "i2"
 			assert.Assert(t, apply(&tracker, inUse, now))
-			removed, err := tracker.withdraw("i1", started, now)
-			assert.NilError(t, err)
-			assert.Assert(t, !removed)
+			assert.NilError(t, tc.leave(&tracker))
 			assert.Assert(t, !apply(&tracker, late, now))
+			assert.Equal(t, tracker.current.Load().Instance, "i2")
 			restarted := backendTracker{lifetime: time.Second, epoch: now}
 			restarted.recall(tracker.departures(), now)
 			assert.Assert(t, !apply(&restarted, late, now), "used after a restart")
--- a/node/recall.go
+++ b/node/recall.go
@@ -143,6 +143,7 @@
 		return nil
 	}
 	n.remember()
+	n.publish()
 	return n.flush(ctx)
 }
 
--- a/node/recall_test.go
+++ b/node/recall_test.go
@@ -20,6 +20,7 @@
 	stored  edge.Departures // by an earlier process
 	mu      sync.Mutex
 	kept    edge.Departures // remembered last
+	flushed bool            // with an endpoint: without one a Directory has no row to write
 }
 
 func (s *blockedStore) Recall(ctx context.Context) (edge.Departures, error) {
@@ -43,7 +44,10 @@
 	return s.kept
 }
 
-func (s *blockedStore) Flush(context.Context) error { return nil }
+func (s *blockedStore) Flush(context.Context) error {
+	s.flushed = len(s.Endpoints("shop")) > 0
+	return nil
+}
 
 // process is a process of a node whose listeners are not served.
 type process struct {
@@ -195,3 +199,13 @@
 		})
 	}
 }
+
+// Guards against an acknowledgement that a server drains before there is a row in which that
+// could be stored, because the announcement itself is older than a departure.
+func TestOutdatedDrainIsStored(t *testing.T) {
+	p := startProcess(t, edge.Departures{Newest: edge.Departure{Instance: "i1", Started: 7, Withdrawn: true}})
+	p.cfg.Service = "shop"
+	p.recallNow()
+	assert.NilError(t, p.Announce(context.Background(), announcement(7, 9, "draining")))
+	assert.Assert(t, p.store.flushed)
+}
