node: a stored departure that was received in the future is ignored

Another writer's row could name the ID of a server with a receipt far in the future; each new process of the node would then not use that server for a minute. As with starts, receipts more than an hour ahead are ignored.

--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -135,17 +135,26 @@
 // Guards against a backend server that is never used again because another writer has put
 // a start far in the future into the row of its node.
 func TestOddDepartureIsIgnored(t *testing.T) {
-	f := newFleet(t)
-	f.configure(4, farm)
-	shop := f.host("shop-1", "shop")
-	shop.stop()
-	raw, err := cbor.Marshal(map[int]any{1: "shop-1", 3: "127.0.0.1:9", 6: "shop", 9: balancer.Starting, 20: edge.Departure{Started: math.MaxInt64, Withdrawn: true}})
-	assert.NilError(t, err)
-	f.standIn.Write("dotterel", directory.RowPrefix+"shop-1", append([]byte{7: 1}, raw...))
-	shop.start()
-	shop.born = time.Now().UnixMilli()
-	shop.announce("ready")
-	shop.awaitServing("read.example")
+	for name, departure := range map[int]any{
+		20: edge.Departure{Started: math.MaxInt64, Withdrawn: true},
+		21: []edge.Departure{
+			{Instance: "shop-1", Received: time.Now().Add(24 * time.Hour).UnixMilli(), Withdrawn: true},
+		},
+	} {
+		t.Run(fmt.Sprint("field ", name), func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(4, farm)
+			shop := f.host("shop-1", "shop")
+			shop.stop()
+			raw, err := cbor.Marshal(map[int]any{1: "shop-1", 3: "127.0.0.1:9", 6: "shop", 9: balancer.Starting, name: departure})
+			assert.NilError(t, err)
+			f.standIn.Write("dotterel", directory.RowPrefix+"shop-1", append([]byte{7: 1}, raw...))
+			shop.start()
+			shop.born = time.Now().UnixMilli()
+			shop.announce("ready")
+			shop.awaitServing("read.example")
+		})
+	}
 }
 
 // refusingStore passes requests on to the store, or answers 503 while it refuses.
--- a/node/departures.go
+++ b/node/departures.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxStartSkew is how far in the future a stored start may lie. One beyond it was not
-	// written by this node and would outdate all announcements.
+	// maxStartSkew is how far in the future a stored start or receipt may lie. One beyond
+	// it was not written by this node and would outdate all announcements.
 	maxStartSkew = time.Hour
 	// otherDepartureLifetime is how long a departure counts whose start the node has not
 	// seen. Backend servers end, and late announcements arrive, within seconds of it. An
@@ -111,7 +111,7 @@
 	}
 	var recalled []otherDeparture
 	for _, o := range stored.Others {
-		if o.Started <= latest && !d.hasOther(o.Instance, now) {
+		if o.Received >= 0 && max(o.Started, o.Received) <= latest && !d.hasOther(o.Instance, now) {
 			age := max(0, time.Duration(now.UnixMilli()-o.Received)*time.Millisecond)
 			recalled = append(recalled, otherDeparture{o, now.Add(-age)})
 		}
