--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -132,6 +132,22 @@
 	})
 }
 
+// Guards against a departure that is stored already and that waits for a store that is away,
+// each time the server says it again.
+func TestRepeatedLeavingNeedsNoStore(t *testing.T) {
+	for name, leave := range map[string]func(h *host) int{
+		"deregistered": (*host).deregister,
+		"draining":     func(h *host) int { return h.sendHeartbeat(h.sequence.Add(1), "draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			leaving := newLeavingHost(t)
+			assert.Equal(t, leave(leaving), http.StatusOK)
+			leaving.fleet.standIn.SetFaults(standin.PlatformFaults{Down: true})
+			assert.Equal(t, leave(leaving), http.StatusOK)
+		})
+	}
+}
+
 // Guards against a backend server that is never used again because another writer has put
 // a start far in the future into the row of its node.
 func TestOddDepartureIsIgnored(t *testing.T) {
