--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,30 +6,21 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
-	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/edge"
 	"github.com/dotterelseam/dotterelseam/internal/interrupt"
-	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // RowPrefix is the key prefix of the endpoint rows; the node ID follows it.
 const RowPrefix = "endpoint/"
 
-const (
-	// writeTimeout limits one write of the node's own row.
-	writeTimeout = 2 * time.Second
-)
-
 // Config describes a Directory. All fields but Client are required.
 type Config struct {
 	Node   string
@@ -132,13 +123,6 @@
 	d.requestWrite()
 }
 
-func (d *Directory) requestWrite() {
-	select {
-	case d.ownChanged <- struct{}{}:
-	default:
-	}
-}
-
 // Run writes the node's own row, watches all rows, and fetches rows from other nodes
 // while the store is unavailable, until ctx ends. It must be called once.
 func (d *Directory) Run(ctx context.Context) {
@@ -165,86 +149,6 @@
 	return d.cfg.Table.Remove(ctx, key, row.Version)
 }
 
-// writeLoop writes the endpoint announced last to the own row until ctx ends.
-func (d *Directory) writeLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.ownChanged:
-		}
-		for !d.writeOwn(ctx) {
-			if !pause.For(ctx, maxRetryPause/2+rand.N(maxRetryPause/2)) {
-				return
-			}
-		}
-	}
-}
-
-// writeOwn writes the own row once and returns false if the write has to be repeated.
-func (d *Directory) writeOwn(ctx context.Context) bool {
-	d.mu.Lock()
-	own, changes := d.own, d.changes
-	d.mu.Unlock()
-	if own == nil {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	err := d.putOwn(ctx, own)
-	if store.ErrConflict.Has(err) {
-		// The row was written by an earlier process of this node, by another writer, or by
-		// a call whose response was lost.
-		if err = d.readOwn(ctx); err == nil {
-			err = d.putOwn(ctx, own)
-		}
-	}
-	if err != nil {
-		d.cfg.Log.Info("endpoint_not_written", "error", err.Error())
-		return false
-	}
-	d.noteStored(changes)
-	d.cfg.Log.Info("endpoint_written", "service", own.Service, "state", int(own.State), "version", d.ownVersion)
-	return true
-}
-
-// putOwn writes the own row if its version in the store is ownVersion. What earlier
-// processes have stored of departures stays in it.
-func (d *Directory) putOwn(ctx context.Context, own *balancer.Endpoint) error {
-	d.mu.Lock()
-	value := newRowValue(*own, d.recalled.Merge(d.departures))
-	d.mu.Unlock()
-	encoded, err := cbor.Marshal(&value)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	version, err := d.cfg.Table.Put(ctx, RowPrefix+d.cfg.Node, d.ownVersion, encoded)
-	if err != nil {
-		return err
-	}
-	if d.ownVersion == 0 {
-		d.noteOwnRow(nil)
-	}
-	d.ownVersion = version
-	return nil
-}
-
-// readOwn reads the version of the own row, 0 if there is none, and the departures in it.
-func (d *Directory) readOwn(ctx context.Context) error {
-	row, err := d.cfg.Table.Get(ctx, RowPrefix+d.cfg.Node)
-	switch {
-	case store.ErrNotFound.Has(err):
-		d.ownVersion = 0
-		d.noteOwnRow(nil)
-		return nil
-	case err != nil:
-		return err
-	}
-	d.ownVersion = row.Version
-	d.noteOwnRow(row.Value)
-	return nil
-}
-
 // apply merges changed rows, and the node's own endpoint unless it is nil, and
 // notifies the watchers of all services that have or had endpoints.
 func (d *Directory) apply(rows []store.Row, own *balancer.Endpoint) {
