--- a/review/13/main.go
+++ b/review/13/main.go
@@ -1,5 +1,5 @@
-// Command 13 shows what becomes of the quota when the store comes back from a copy that is
-// some seconds old, without the rows of machines that were added meanwhile.
+// Command 13 shows what becomes of the acknowledgement that a server has left, when the
+// store comes back from a copy that is some seconds old and the node is killed after that.
 package main
 
 import (
@@ -11,85 +11,60 @@
 )
 
 const (
-	slots       = 100
+	slots       = 20
 	work        = 20 * time.Millisecond
 	setUpLimit  = 10 * time.Second
-	copyAge     = 4 * time.Second // of the copy when the store goes away
-	awayTime    = 800 * time.Millisecond
-	settle      = 4 * time.Second // after the drill, longer than the contact of the bounds
-	surge       = 12 * time.Second
-	sendPause   = 20 * time.Millisecond // between requests of one client
+	ackLimit    = 4 * time.Second
+	copyAge     = 2 * time.Second // of the copy when the store goes away
+	awayTime    = 500 * time.Millisecond
+	restartTime = 200 * time.Millisecond // from the end of a process to the next one
+	lateAfter   = 500 * time.Millisecond // from the start of the process to the late heartbeat
+	watched     = 2 * time.Second        // how long requests are watched for after the node is in touch
+	sendPause   = 20 * time.Millisecond
 	deadline    = 2 * time.Second
-	firstMember = 4 // machines at the start
 )
 
-var tenant = lab3.Tenant{Name: "farm", Key: "farmkey0farmkey0", Rate: 100, Burst: 100}
-
-// services are those of the machines: two of each at the start, one more of each later.
-var services = []string{"stock", "order", "stock", "order", "stock", "order"}
-
-func configuration(version int) *lab3.Configuration {
-	c := &lab3.Configuration{Version: version, Services: []string{"stock", "order"}, Tenants: []lab3.Tenant{tenant}}
-	for _, service := range c.Services {
-		c.Routes = append(c.Routes, lab3.Route{Name: service, Host: "shop.example", Kind: "idempotent", Service: service, TimeoutMS: 1000, ObjectiveMS: 1500, Priority: 2})
-	}
-	if version > 1 { // the changes add a route that nobody uses
-		c.Routes = append(c.Routes, lab3.Route{Name: fmt.Sprintf("idle%d", version), Host: "shop.example", Kind: "idempotent", Service: "stock", TimeoutMS: 1000, ObjectiveMS: 1500, Priority: 2})
-	}
-	return c
-}
-
-// machine is a node with its server.
-type machine struct {
-	node   *lab3.Node
-	server *lab3.Server
+var configuration = lab3.Configuration{
+	Version: 1, Services: []string{"stock", "front"}, Tenants: []lab3.Tenant{{Name: "farm", Key: "farmkey0farmkey0", Rate: 500, Burst: 500}},
+	Routes: []lab3.Route{{Name: "stock", Host: "shop.example", Kind: "idempotent", Service: "stock", TimeoutMS: 1000, ObjectiveMS: 1500, Priority: 2}},
 }
 
 func main() { lab3.Main(run) }
 
-func addMachine(l *lab3.Lab, i int) (m machine, err error) {
-	name, host := fmt.Sprintf("m%d", i+1), fmt.Sprintf("127.13.0.%d", i+1)
-	if m.node, err = l.NewNode(name, []string{"north", "south"}[i/2%2], services[i], host); err != nil {
-		return m, err
-	}
-	if err = m.node.Run(); err != nil {
-		return m, err
-	}
-	m.server = lab3.StartServer(m.node, slots, work)
-	return m, nil
-}
-
 func run(l *lab3.Lab) (bool, error) {
-	l.Store.Configure(configuration(1))
-	var machines []machine
-	add := func(from, to int) error {
-		for i := from; i < to; i++ {
-			m, err := addMachine(l, i)
-			if err != nil {
-				return err
-			}
-			machines = append(machines, m)
+	l.Store.Configure(&configuration)
+	nodes := map[string]*lab3.Node{}
+	servers := map[string]*lab3.Server{}
+	for i, m := range []struct{ name, zone, service string }{{"leaving", "north", "stock"}, {"staying", "south", "stock"}, {"entry", "north", "front"}} {
+		host := fmt.Sprintf("127.13.0.%d", i+1)
+		n, err := l.NewNode(m.name, m.zone, m.service, host)
+		if err != nil {
+			return false, err
 		}
-		for _, m := range machines[from:] {
-			if err := m.node.AwaitReady(setUpLimit); err != nil {
-				return err
-			}
+		if err := n.Run(); err != nil {
+			return false, err
 		}
-		return nil
+		nodes[m.name], servers[m.name] = n, lab3.StartServer(n, slots, work)
 	}
-	if err := add(0, firstMember); err != nil {
-		return false, err
+	for _, n := range nodes {
+		if err := n.AwaitReady(setUpLimit); err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(lab3.Contact)
+	stopClients := startClients(l, nodes["entry"], nodes["leaving"])
+	defer stopClients()
+	time.Sleep(lab3.Contact + time.Second)
 	kept, taken := l.Store.Take(), time.Now()
 	l.Record.Line("copy", "ver", l.Store.Ver())
-	if err := add(firstMember, len(services)); err != nil {
-		return false, err
+	time.Sleep(copyAge / 2)
+
+	leaving, node := servers["leaving"], nodes["leaving"]
+	late := leaving.Heartbeat() // sent before the server leaves, and delayed
+	acknowledged, ok := leaving.Deregister(ackLimit)
+	if !ok {
+		return false, fmt.Errorf("the server's leaving was not acknowledged")
 	}
-	time.Sleep(1500 * time.Millisecond) // the servers have sent a heartbeat
-	l.Store.Configure(configuration(2))
-	time.Sleep(500 * time.Millisecond)
-	l.Store.Configure(configuration(3))
+	l.Record.Line("leaving_acknowledged")
 	time.Sleep(time.Until(taken.Add(copyAge)))
 	if l.Trouble {
 		l.Record.Line("store_away", "ver", l.Store.Ver())
@@ -98,40 +73,57 @@
 		l.Store.ComeBack(&kept)
 		l.Record.Line("store_back", "ver", l.Store.Ver())
 	}
-	time.Sleep(settle)
-	sent := surgeAt(l, machines)
-	var runs []lab3.Run
-	for _, m := range machines {
-		runs = append(runs, m.server.Runs()...)
+	if l.Trouble {
+		l.Record.Line("killed", "node", node.Name)
+		node.Kill()
+		time.Sleep(restartTime)
+		if err := node.Run(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(lateAfter)
+	l.Record.Line("late_heartbeat", "acknowledged", leaving.Deliver(late))
+	inTouch := time.Now().Add(lab3.Contact)
+	time.Sleep(time.Until(inTouch.Add(watched)))
+	sent := stopClients()
+	count, last := 0, acknowledged
+	for _, r := range leaving.Runs() {
+		if at, known := sent[r.ID]; known && at.After(inTouch) && r.At.After(acknowledged.Add(lab3.DrainBound)) {
+			count, last = count+1, r.At
+		}
 	}
-	most, from := lab3.MostInWindow(sent, runs, tenant.Name)
-	permitted := lab3.MostPermitted(tenant)
-	l.Say("most requests of the tenant sent and run in %v: %d from second %.1f, permitted %d; sent in all %d, run in all %d",
-		lab3.QuotaWindow, most, l.Record.At(from), permitted, len(sent), len(runs))
-	return most > permitted, nil
+	l.Say("%d requests, sent when all machines were in touch again, reached the server later than %v after the acknowledgement that it leaves, the last %.1f s after it",
+		count, lab3.DrainBound, last.Sub(acknowledged).Seconds())
+	return count > 0, nil
 }
 
-// surgeAt lets clients at all machines send requests of the tenant to both services. It
-// returns when each request was sent.
-func surgeAt(l *lab3.Lab, machines []machine) map[string]time.Time {
+// startClients lets clients at the nodes send requests until the returned function is called,
+// which returns when each request was sent.
+func startClients(l *lab3.Lab, nodes ...*lab3.Node) (stop func() map[string]time.Time) {
+	const clients = 4 // at all nodes together
 	var mu sync.Mutex
 	sent := map[string]time.Time{}
-	var clients sync.WaitGroup
-	end := time.Now().Add(surge)
-	for _, m := range machines {
-		for _, service := range []string{"stock", "order"} {
-			client := l.NewClient(m.node)
-			clients.Go(func() {
-				for time.Now().Before(end) {
-					s := client.Do(lab3.Request{Method: "GET", Host: "shop.example", Path: "/" + service + "/a", Key: tenant.Key, Deadline: deadline})
-					mu.Lock()
-					sent[s.ID] = s.At
-					mu.Unlock()
-					time.Sleep(sendPause)
+	var running sync.WaitGroup
+	ended := make(chan struct{})
+	for i := range clients {
+		client := l.NewClient(nodes[i%len(nodes)])
+		running.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				case <-time.After(sendPause):
 				}
-			})
-		}
+				s := client.Do(lab3.Request{Method: "GET", Host: "shop.example", Path: "/stock/a", Key: configuration.Tenants[0].Key, Deadline: deadline})
+				mu.Lock()
+				sent[s.ID] = s.At
+				mu.Unlock()
+			}
+		})
 	}
-	clients.Wait()
-	return sent
+	return sync.OnceValue(func() map[string]time.Time {
+		close(ended)
+		running.Wait()
+		return sent
+	})
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-for number in 11 13 14 15; do
+for number in 11 12 13; do
   go build -ldflags=-linkmode=external -o "target/review-3/case$number" "./review/$number"
 done
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -270,12 +270,6 @@
 	return fmt.Errorf("node %s is not ready", n.Name)
 }
 
-// Logs returns what the node has logged.
-func (n *Node) Logs() string {
-	text, _ := os.ReadFile(filepath.Join(n.lab.folder, n.Name+".log"))
-	return string(text)
-}
-
 // Request is a request of a client.
 type Request struct {
 	Method, Host, Path, Key string
--- a/review/lab3/server.go
+++ b/review/lab3/server.go
@@ -29,15 +29,13 @@
 	born                             int64
 	control                          string // where it sends heartbeats
 	record                           *Record
+	work                             time.Duration
+	slots                            chan struct{}
+	quiet                            chan struct{} // closed to end the heartbeats
 
 	mu       sync.Mutex
-	work     time.Duration
-	phase    string
 	sequence int
 	runs     []Run
-	dropped  []Run
-	quiet    chan struct{} // closed to end the heartbeats
-	slots    chan struct{}
 }
 
 // StartServer starts a server beside a node, with the node's service and zone, and begins to
@@ -52,18 +50,11 @@
 func newServer(n *Node, slots int, work time.Duration) *Server {
 	return &Server{
 		Service: n.Service, Zone: n.Zone, Instance: "i-" + n.Name, Address: n.ForServer.Addr().String(), Slots: slots,
-		born: time.Now().UnixMilli(), control: n.Announcements, record: n.lab.Record, work: work, phase: "ready",
+		born: time.Now().UnixMilli(), control: n.Announcements, record: n.lab.Record, work: work,
 		quiet: make(chan struct{}), slots: make(chan struct{}, slots),
 	}
 }
 
-// SetWork sets how long the requests take that begin from now on.
-func (s *Server) SetWork(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.work = d
-}
-
 // Runs returns the requests that the server has begun to run so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -71,14 +62,6 @@
 	return append([]Run(nil), s.runs...)
 }
 
-// Dropped returns the requests that the server has given up because their connection closed,
-// with the times of that.
-func (s *Server) Dropped() []Run {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Run(nil), s.dropped...)
-}
-
 func (s *Server) heartbeats() {
 	for {
 		s.send(names.Heartbeat, s.Heartbeat())
@@ -96,22 +79,13 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	return fill(heartbeatTemplate, map[string]any{
-		"Service": s.Service, "Address": s.Address, "Zone": s.Zone, "Slots": s.Slots, "Phase": s.phase, "Sequence": s.sequence, "Born": s.born,
+		"Service": s.Service, "Address": s.Address, "Zone": s.Zone, "Slots": s.Slots, "Phase": "ready", "Sequence": s.sequence, "Born": s.born,
 	})
 }
 
 // Deliver sends a heartbeat whose body was made earlier, and returns whether it was acknowledged.
 func (s *Server) Deliver(body []byte) bool { return s.send(names.Heartbeat, body) }
 
-// Drain says "draining" at once and in all heartbeats from now on. It returns when that was
-// acknowledged, or false after the limit.
-func (s *Server) Drain(limit time.Duration) (time.Time, bool) {
-	s.mu.Lock()
-	s.phase = "draining"
-	s.mu.Unlock()
-	return s.repeat(limit, func() bool { return s.send(names.Heartbeat, s.Heartbeat()) })
-}
-
 // Deregister sends no heartbeats any more and says that the server goes. It returns when that
 // was acknowledged, or false after the limit. The server goes on serving.
 func (s *Server) Deregister(limit time.Duration) (time.Time, bool) {
@@ -169,19 +143,15 @@
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{id, r.Header.Get(names.Tenant), s.Instance, arrived})
-	work := s.work
 	s.mu.Unlock()
 	s.record.Line("run", "server", s.Instance, "id", id, "tenant", r.Header.Get(names.Tenant))
 	status, body := http.StatusOK, []byte(s.Instance+" "+id+"\n")
 	select {
-	case <-time.After(work):
+	case <-time.After(s.work):
 	case <-deadline.C:
 		status, body = http.StatusGatewayTimeout, nil
 	case <-r.Context().Done():
 		s.record.Line("dropped", "server", s.Instance, "id", id)
-		s.mu.Lock()
-		s.dropped = append(s.dropped, Run{id, r.Header.Get(names.Tenant), s.Instance, time.Now()})
-		s.mu.Unlock()
 		return
 	}
 	w.Header().Set(names.Seal, strconv.FormatUint(uint64(crc32.ChecksumIEEE(body)), 16))
--- a/review/lab3/upload.go
+++ b/review/lab3/upload.go
@@ -107,10 +107,7 @@
 }
 
 func (s *UploadServer) run(id, path string, body []byte) {
-	s.mu.Lock()
-	work := s.work
-	s.mu.Unlock()
-	time.Sleep(work)
+	time.Sleep(s.work)
 	length, _ := strconv.Atoi(path[bytes.LastIndexByte([]byte(path), '/')+1:]) // every path ends with a number
 	whole := bytes.Equal(body, BodyOf(id, length))
 	s.record.Line("run", "server", s.Instance, "id", id, "sent_bytes", length, "got_bytes", len(body), "same", whole)
