node: only the current try reads the body of an upload

An upload above 64 KiB without a length was run without its first 32 KiB and answered with 200, while a server sent some of its answers twice.

Cause: a body above 64 KiB is written by a goroutine of the try. A second answer ends the try at once, and the body counted as unread until that goroutine came to its first read. The next try was allowed, and the goroutine of the first one took a part of the body for a connection that was closed already.

Ruled out: a shared copy buffer (the length is wrong, not the content), and a broken read that ends in a last chunk (the beginning is missing).

Change: a try opens a stream of the body, which ends with its exchange. Reads of an ended stream fail, and whether one has read is decided under the same lock, so a try that has read nothing is repeated as before.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -65,12 +65,13 @@
 // exchange is one request and its response on a connection of a pool. It never resends
 // a request, because each delivery must be counted. It is the body of its response.
 type exchange struct {
-	conn        *pooledConn
-	stopWatch   func() bool   // stops watching the context; returns false if the context has already closed the connection
-	bodyWritten chan error    // result of writing the request body in a goroutine; nil without one
-	bodyRead    bool          // the response was read to its end
-	keepAlive   bool          // the server keeps the connection open
-	body        io.ReadCloser // of the response
+	conn          *pooledConn
+	stopWatch     func() bool   // stops watching the context; returns false if the context has already closed the connection
+	requestStream *bodyStream   // body of the request; nil if it is fully buffered
+	bodyWritten   chan error    // result of writing requestStream in a goroutine; nil without one
+	bodyRead      bool          // the response was read to its end
+	keepAlive     bool          // the server keeps the connection open
+	body          io.ReadCloser // of the response
 }
 
 // roundTrip sends req and returns the response, whose body must be closed. On an
@@ -102,18 +103,24 @@
 // server may refuse a request before it has read all of it.
 func (x *exchange) send(req *outboundRequest) error {
 	w := x.conn.w
-	req.writeHeader(w)
 	if req.body.fullyBuffered {
+		req.writeHeader(w)
 		req.writeBuffered(w)
 		return w.Flush()
 	}
+	stream, err := req.body.openStream()
+	if err != nil {
+		return err
+	}
+	x.requestStream = stream
+	req.writeHeader(w)
 	if err := w.Flush(); err != nil {
 		return err
 	}
 	written, conn := make(chan error, 1), x.conn
 	x.bodyWritten = written
 	go func() {
-		err := req.writeStream(w)
+		err := req.writeStream(w, stream)
 		if err != nil && req.body.senderRefusal() != nil {
 			conn.interrupt() // the server must not take a partial body for a complete one
 		}
@@ -166,6 +173,7 @@
 		x.abandon()
 		return nil
 	}
+	x.endRequest()
 	x.conn.release()
 	x.conn = nil
 	return nil
@@ -216,11 +224,20 @@
 }
 
 func (x *exchange) abandon() {
+	x.endRequest()
 	x.stopWatch()
 	x.conn.discard()
 	x.conn = nil
 }
 
+// endRequest keeps the goroutine that writes the body from reading more of it, which another
+// try may send.
+func (x *exchange) endRequest() {
+	if x.requestStream != nil {
+		x.requestStream.end()
+	}
+}
+
 // pooledConn is a connection of a pool with its buffers. It carries one exchange at a
 // time.
 type pooledConn struct {
--- a/node/requestbody.go
+++ b/node/requestbody.go
@@ -34,12 +34,15 @@
 	control        *http.ResponseController
 	request        *http.Request
 
-	refused          atomic.Pointer[refusal.Refusal] // why the body could not be read from the sender
-	streamingStarted atomic.Bool                     // a byte of a streamed body was read
-	complete         atomic.Bool                     // the body was read to its end
-	closed           atomic.Bool
+	refused  atomic.Pointer[refusal.Refusal] // why the body could not be read from the sender
+	complete atomic.Bool                     // the body was read to its end
+	closed   atomic.Bool
 
-	// mu serialises Read with finish. It guards buffered and bytesRead once the body
+	streamMu sync.Mutex
+	stream   *bodyStream // of the current try; nil between tries
+	consumed bool        // a stream has read from the body, so no other one can read all of it
+
+	// mu serialises read with finish. It guards buffered and bytesRead once the body
 	// is streamed.
 	mu            sync.Mutex
 	buffered      []byte // the part not yet streamed, or the whole body if fullyBuffered
@@ -171,14 +174,13 @@
 	return r
 }
 
-// Read implements io.Reader for a streamed body.
-func (b *requestBody) Read(p []byte) (int, error) {
+// read reads a part of a streamed body.
+func (b *requestBody) read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closed.Load() {
 		return 0, errBodyClosed
 	}
-	b.streamingStarted.Store(true)
 	if len(b.buffered) > 0 {
 		n := copy(p, b.buffered)
 		b.buffered = b.buffered[n:]
@@ -187,10 +189,6 @@
 	return b.readRequest(p)
 }
 
-// Close implements io.Closer. It does nothing, so that the next try can still read the
-// body.
-func (b *requestBody) Close() error { return nil }
-
 // finish makes the body unreadable and interrupts a read that waits for the sender. It
 // must be called before the handler returns, because the goroutine that writes the
 // request may still be reading.
@@ -210,5 +208,10 @@
 // senderRefusal returns why the body could not be read from the sender, or nil.
 func (b *requestBody) senderRefusal() *refusal.Refusal { return b.refused.Load() }
 
-// replayable reports whether the body can be sent (again).
-func (b *requestBody) replayable() bool { return b.fullyBuffered || !b.streamingStarted.Load() }
+// replayable reports whether the body can be sent (again). It must not be called during a
+// try.
+func (b *requestBody) replayable() bool {
+	b.streamMu.Lock()
+	defer b.streamMu.Unlock()
+	return b.fullyBuffered || !b.consumed
+}
--- a/node/writerequest.go
+++ b/node/writerequest.go
@@ -90,12 +90,12 @@
 	writeStrings(w, "\r\n")
 }
 
-// writeStream writes a body as it is read and flushes after each part.
-func (req *outboundRequest) writeStream(w *bufio.Writer) error {
+// writeStream writes a body as it is read from stream and flushes after each part.
+func (req *outboundRequest) writeStream(w *bufio.Writer, stream io.Reader) error {
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
-		n, err := req.body.Read(buffer[:])
+		n, err := stream.Read(buffer[:])
 		if n > 0 && req.isChunked() {
 			writeChunk(w, buffer[:n])
 		} else if n > 0 {
