node: a connection is not kept if its request could not be written

Cause: an exchange counted its request as complete unless a goroutine wrote the body. If the write of the header or of a buffered body failed and the server's answer was whole, the connection went back to the pool, and the next request on it failed.

TestFailedRequestEndsConnection: "the connection was kept" in both cases before, holds now.

--- a/node/exchange.go
+++ b/node/exchange.go
@@ -67,6 +67,7 @@
 type exchange struct {
 	conn          *pooledConn
 	stopWatch     func() bool   // stops watching the context; returns false if the context has already closed the connection
+	sendErr       error         // of send
 	requestStream *bodyStream   // body of the request; nil if it is fully buffered
 	bodyWritten   chan error    // result of writing requestStream in a goroutine; nil without one
 	bodyRead      bool          // the response was read to its end
@@ -85,7 +86,7 @@
 	}
 	x := &exchange{conn: conn}
 	x.stopWatch = context.AfterFunc(ctx, conn.interrupt)
-	if x.send(req) != nil && !conn.sent {
+	if x.sendErr = x.send(req); x.sendErr != nil && !conn.sent {
 		x.abandon()
 		return nil, false, errors.New("the connection broke before anything was sent")
 	}
@@ -212,6 +213,9 @@
 }
 
 func (x *exchange) requestComplete() bool {
+	if x.sendErr != nil {
+		return false
+	}
 	if x.bodyWritten == nil {
 		return true
 	}
--- a/node/uploadtries_test.go
+++ b/node/uploadtries_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/url"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,3 +155,30 @@
 	_, err = body.openStream()
 	assert.ErrorIs(t, err, errBodyClosed)
 }
+
+// refusingConn plays a server that answers at once and takes no request.
+type refusingConn struct{ *hastyConn }
+
+func (refusingConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// Guards against a connection that is kept for another request although not all of the one
+// before could be written to it.
+func TestFailedRequestEndsConnection(t *testing.T) {
+	for name, body := range map[string]*requestBody{
+		"buffered": {fullyBuffered: true, buffered: []byte("body"), declaredLength: 4},
+		"streamed": newStreamedBody(t, make([]byte, maxReplayBody+1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newConnPool(nil, 0, time.Minute, 1, 0)
+			p.dialFunc = func(context.Context, string) (net.Conn, error) {
+				return refusingConn{newHastyConn("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")}, nil
+			}
+			resp, _, err := p.roundTrip(t.Context(), &outboundRequest{method: http.MethodPost, address: "server", host: "h", url: &url.URL{Path: "/"}, body: body})
+			assert.NilError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Assert(t, p.takeIdle("server") == nil, "the connection was kept")
+		})
+	}
+}
