store: the era of the store, and a stand-in that comes back from a copy

The store's answers name an era, which rises when it has come back from a copy. Positions of a watch carry it, and what was read in an earlier era is not used for a watch (ErrCompacted) or a conditional write (ErrConflict). An answer of an earlier era than one already seen is discarded. An era is 0 where the store names none; nothing changes there.

The stand-in plays the drill: Away, Restore and RestoreAge, POST /restore.

--- a/directory/watch.go
+++ b/directory/watch.go
@@ -29,10 +29,10 @@
 
 // watchLoop reads all rows, then watches and applies their changes, until ctx ends.
 func (d *Directory) watchLoop(ctx context.Context) {
-	var revision uint64
+	var position store.Position
 	synced := false
 	for ctx.Err() == nil {
-		changes, err := d.nextChanges(ctx, revision, synced)
+		changes, err := d.nextChanges(ctx, position, synced)
 		switch {
 		case store.ErrCompacted.Has(err):
 			synced = false
@@ -52,7 +52,7 @@
 			d.loaded = true
 			d.mu.Unlock()
 		}
-		revision, synced = changes.Revision, true
+		position, synced = changes.Position, true
 		d.apply(changes.Rows, nil)
 		if len(changes.Rows) > 0 {
 			pause.For(ctx, d.delayAfterChange())
@@ -60,12 +60,12 @@
 	}
 }
 
-// nextChanges waits for changes after revision, or reads all rows if synced is false.
-func (d *Directory) nextChanges(ctx context.Context, revision uint64, synced bool) (store.Changes, error) {
+// nextChanges waits for changes after a position, or reads all rows if synced is false.
+func (d *Directory) nextChanges(ctx context.Context, after store.Position, synced bool) (store.Changes, error) {
 	ctx, done := d.interrupter.Context(ctx)
 	defer done()
 	if synced {
-		return d.cfg.Table.Watch(ctx, revision, d.watchTimeout())
+		return d.cfg.Table.Watch(ctx, after, d.watchTimeout())
 	}
 	return d.cfg.Table.Snapshot(ctx, RowPrefix)
 }
@@ -100,8 +100,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for node, e := range d.rows {
-		if key := RowPrefix + node; !present[key] && e.revision <= snapshot.Revision && e.revision > 0 {
-			removed = append(removed, store.Row{Key: key, Revision: snapshot.Revision, Deleted: true})
+		if key := RowPrefix + node; !present[key] && e.revision <= snapshot.Position.Revision && e.revision > 0 {
+			removed = append(removed, store.Row{Key: key, Revision: snapshot.Position.Revision, Deleted: true})
 		}
 	}
 	return removed
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelseam/dotterelseam/config"
 	"github.com/dotterelseam/dotterelseam/internal/interrupt"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 const (
@@ -39,14 +40,14 @@
 // Implementations are safe for concurrent use.
 type Source interface {
 	// Read returns the newest configuration, encoded, or nil if there is none yet, and
-	// the revision from which Watch continues.
-	Read(ctx context.Context) (raw []byte, revision uint64, err error)
-	// Watch returns the newest configuration after a revision, or nil if none was
-	// published within the time to wait, and the revision from which the next Watch
+	// the position from which Watch continues.
+	Read(ctx context.Context) (raw []byte, position store.Position, err error)
+	// Watch returns the newest configuration after a position, or nil if none was
+	// published within the time to wait, and the position from which the next Watch
 	// continues.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (raw []byte, revision uint64, err error)
-	// IsCompacted reports whether the error means that the changes after the revision
-	// have been discarded, so that Read has to be used.
+	Watch(ctx context.Context, after store.Position, wait time.Duration) (raw []byte, position store.Position, err error)
+	// IsCompacted reports whether the error means that the changes after the position
+	// have been discarded, or that it is of an earlier era, so that Read has to be used.
 	IsCompacted(err error) bool
 	// Decode decodes a configuration into a snapshot.
 	Decode(raw []byte) (*config.Snapshot, error)
@@ -149,10 +150,10 @@
 	var asking sync.WaitGroup
 	defer asking.Wait()
 	asking.Go(func() { f.askPeers(ctx) })
-	var revision uint64
+	var position store.Position
 	synced := false
 	for ctx.Err() == nil {
-		raw, next, err := f.readOrWatch(ctx, revision, synced)
+		raw, next, err := f.readOrWatch(ctx, position, synced)
 		switch {
 		case err != nil && f.source.IsCompacted(err):
 			synced = false
@@ -169,7 +170,7 @@
 			continue
 		}
 		f.setReachable(true, nil)
-		revision = next
+		position = next
 		late := !synced && f.Current() != nil
 		synced = true
 		if raw != nil && f.Apply(raw, "store") && late {
@@ -178,15 +179,15 @@
 	}
 }
 
-// readOrWatch waits for a change after revision, or reads the newest configuration if
+// readOrWatch waits for a change after a position, or reads the newest configuration if
 // synced is false.
-func (f *Follower) readOrWatch(ctx context.Context, revision uint64, synced bool) ([]byte, uint64, error) {
+func (f *Follower) readOrWatch(ctx context.Context, after store.Position, synced bool) ([]byte, store.Position, error) {
 	ctx, done := f.interrupter.Context(ctx)
 	defer done()
 	if !synced {
 		return f.source.Read(ctx)
 	}
-	return f.source.Watch(ctx, revision, f.watchTimeout())
+	return f.source.Watch(ctx, after, f.watchTimeout())
 }
 
 // watchTimeout returns how long one watch call waits for a change.
--- a/distribution/follower_test.go
+++ b/distribution/follower_test.go
@@ -96,13 +96,13 @@
 	version atomic.Int64
 }
 
-func (s *stalledSource) Read(context.Context) ([]byte, uint64, error) {
-	return operatorConfig(int(s.version.Load())), 1, nil
+func (s *stalledSource) Read(context.Context) ([]byte, store.Position, error) {
+	return operatorConfig(int(s.version.Load())), store.Position{Revision: 1}, nil
 }
 
-func (s *stalledSource) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]byte, uint64, error) {
+func (s *stalledSource) Watch(ctx context.Context, _ store.Position, _ time.Duration) ([]byte, store.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, store.Position{}, ctx.Err()
 }
 
 // Guards against a node that stays at an old version while a call to the store waits on
@@ -132,7 +132,7 @@
 	lost atomic.Bool
 }
 
-func (s *lossySource) Watch(ctx context.Context, after uint64, wait time.Duration) ([]byte, uint64, error) {
+func (s *lossySource) Watch(ctx context.Context, after store.Position, wait time.Duration) ([]byte, store.Position, error) {
 	if s.lost.Swap(true) {
 		return s.stalledSource.Watch(ctx, after, wait)
 	}
@@ -197,12 +197,12 @@
 	failed atomic.Bool
 }
 
-func (s *restartedSource) Watch(ctx context.Context, after uint64, wait time.Duration) ([]byte, uint64, error) {
+func (s *restartedSource) Watch(ctx context.Context, after store.Position, wait time.Duration) ([]byte, store.Position, error) {
 	if s.failed.Swap(true) {
 		return s.stalledSource.Watch(ctx, after, wait)
 	}
 	s.version.Store(9)
-	return nil, 0, store.ErrUnavailable.New("the answer was lost")
+	return nil, store.Position{}, store.ErrUnavailable.New("the answer was lost")
 }
 
 // Guards against nodes of a large fleet that stay at an old version after the store was
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -19,6 +19,7 @@
 	DropAnswers  int           `json:"lose_answers"` // apply the next n writes, but close the connection without a response
 	DropRequests int           `json:"lose_before"`  // close the connection without applying the next n writes
 	Compacted    bool          `json:"compacted"`    // answer feed requests with 410, as if the history was compacted
+	Away         bool          `json:"away"`         // end every connection without a response
 }
 
 // Platform is an in-memory table service and object store that speaks the
@@ -30,6 +31,7 @@
 	changed chan struct{} // closed and replaced at each change
 	objects map[string][]byte
 	ver     uint64
+	era     uint64 // increases with each restore
 	started time.Time
 	faults  PlatformFaults
 	reads   uint64
@@ -39,7 +41,7 @@
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
 	return &Platform{
-		rows: map[rowID]storedRow{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now(),
+		rows: map[rowID]storedRow{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now(), era: firstEra,
 	}
 }
 
@@ -49,6 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	p.wake()
 }
 
 // Calls returns the numbers of read and write requests received, including those
@@ -60,7 +63,8 @@
 }
 
 // Handler serves the table, the object store, POST /faults, which takes
-// PlatformFaults as JSON, and GET /calls, which returns the counts of Calls.
+// PlatformFaults as JSON, POST /restore, which takes the age of a copy as JSON in
+// nanoseconds, and GET /calls, which returns the counts of Calls.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/rows-tx", p.withFaults(p.transact))
@@ -69,6 +73,7 @@
 	mux.HandleFunc("GET /-/blob-get/{id}", p.withFaults(p.getObject))
 	mux.HandleFunc("PUT /-/blob-put/{id}", p.withFaults(p.putObject))
 	mux.HandleFunc("POST /faults", p.postFaults)
+	mux.HandleFunc("POST /restore", p.postRestore)
 	mux.HandleFunc("GET /calls", p.getCalls)
 	return mux
 }
@@ -95,12 +100,14 @@
 			time.Sleep(f.Delay)
 		}
 		if f.Down {
+			w.Header().Set(eraHeader, strconv.FormatUint(p.Era(), 10))
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
-		if dropRequest {
+		if dropRequest || f.Away {
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set(eraHeader, strconv.FormatUint(p.Era(), 10))
 		if !dropAnswer {
 			next(w, r)
 			return
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -29,6 +29,8 @@
 	Value   []byte `json:"value,omitempty"`
 	Ver     uint64 `json:"ver"`
 	Deleted bool   `json:"deleted,omitempty"`
+
+	writtenAt time.Time
 }
 
 type transaction struct {
@@ -83,15 +85,21 @@
 // p.mu.
 func (p *Platform) apply(tx *transaction) {
 	p.ver++
+	now := time.Now()
 	for _, row := range tx.Writes {
-		row.Ver = p.ver
+		row.Ver, row.writtenAt = p.ver, now
 		p.rows[row.rowID] = row
 		p.log = append(p.log, row)
 	}
 	for _, id := range tx.Remove {
 		delete(p.rows, id)
-		p.log = append(p.log, storedRow{rowID: id, Ver: p.ver, Deleted: true})
+		p.log = append(p.log, storedRow{rowID: id, Ver: p.ver, Deleted: true, writtenAt: now})
 	}
+	p.wake()
+}
+
+// wake lets the waiting feed requests look again. The caller holds p.mu.
+func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -146,8 +154,13 @@
 	defer end.Stop()
 	for {
 		p.mu.Lock()
-		response, changed, compacted := p.changesAfter(q.Get("table"), after), p.changed, p.faults.Compacted
+		response, changed := p.changesAfter(q.Get("table"), after), p.changed
+		compacted, away := p.faults.Compacted || after > p.ver, p.faults.Away
+		w.Header().Set(eraHeader, strconv.FormatUint(p.era, 10))
 		p.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
 		if compacted {
 			http.Error(w, "history is gone", http.StatusGone)
 			return
--- a/store/store.go
+++ b/store/store.go
@@ -37,12 +37,13 @@
 	Revision uint64 // table-wide sequence number of the write
 	Value    []byte
 	Deleted  bool // set by Watch only: the row was removed; Version is 0 and Value is empty
+	Era      Era  // in which the row was read
 }
 
-// Changes are the rows that changed after a revision, or those of a snapshot.
+// Changes are the rows that changed after a position, or those of a snapshot.
 type Changes struct {
-	Rows     []Row  // in the order of their revisions
-	Revision uint64 // from which the next Watch continues
+	Rows     []Row    // in the order of their revisions
+	Position Position // from which the next Watch continues
 }
 
 // Table is a transactional table with a change feed. Implementations are safe for
@@ -57,17 +58,20 @@
 	// Watch continues.
 	Snapshot(ctx context.Context, prefix string) (Changes, error)
 	// Put writes a row if its current version is ifVersion (0: the row must not
-	// exist) and returns the new version. It returns ErrConflict for another version.
-	// After ErrUnknownOutcome the row has to be read to find out whether it was written.
+	// exist) and returns the new version. It returns ErrConflict for another version, and
+	// for one that was read in an earlier era. After ErrUnknownOutcome the row has to be
+	// read to find out whether it was written.
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
 	// Remove removes a row if its current version is ifVersion. It returns ErrConflict
-	// for another version and for a missing row. After ErrUnknownOutcome the row has to
+	// for another version, for one that was read in an earlier era, and for a missing row. After ErrUnknownOutcome the row has to
 	// be read to find out whether it was removed.
 	Remove(ctx context.Context, key string, ifVersion uint64) error
-	// Watch returns the changes of all rows of the table after a revision. It waits up
+	// Watch returns the changes of all rows of the table after a position. It waits up
 	// to the given time for the first one and returns no rows if there was none. The
-	// error may be ErrCompacted.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// error may be ErrCompacted, and is if the position is of an earlier era.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Changes, error)
+	// Era returns the newest era that an answer has named, or 0 if none has.
+	Era() Era
 }
 
 // IsOutage reports whether err means that the store gave no usable response.
