directory: rows that the store has lost are written again, and not forgotten

After the store came back from a copy without the rows of two new nodes, a workspace got 896 requests in 5 s of 680 permitted.

Cause: a node writes its row only when its endpoint changes, so a lost row stayed lost. Nodes that read all rows again dropped the missing ones, and compared revisions of the old history with those of the new one. The first nodes shared the limits among four, the new ones among six.

Ruled out: that the new nodes miscount (they know all six).

Change: rows and positions carry the era in which they were written; only within one are revisions compared. After a restore each node writes its row again once, all together 400 a second, and rows that are missing are kept. After that time and 2 s they get no requests, but keep their part of limits. The decisions move to internal/fleetview, which does no input or output.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,19 +7,19 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 
 	"github.com/go-logr/logr"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/edge"
+	"github.com/dotterelseam/dotterelseam/internal/fleetview"
 	"github.com/dotterelseam/dotterelseam/internal/interrupt"
 	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // RowPrefix is the key prefix of the endpoint rows; the node ID follows it.
-const RowPrefix = "endpoint/"
+const RowPrefix = fleetview.RowPrefix
 
 // Config describes a Directory. All fields but Client are required.
 type Config struct {
@@ -34,18 +34,19 @@
 	cfg Config
 
 	mu             sync.Mutex
-	rows           map[string]entry               // by node
+	view           *fleetview.View                // of all rows
 	byService      map[string][]balancer.Endpoint // replaced, never changed
 	members        []balancer.Endpoint            // replaced, never changed
 	watchers       []func(service string)
 	own            *balancer.Endpoint // desired endpoint of the own row; nil: the row is not written
 	departures     edge.Departures    // desired, with own
-	ownVersion     uint64             // of the own row as last written; used by writeLoop only
+	ownVersion     uint64             // of the own row as last read or written; used by writeLoop only
+	ownEra         store.Era          // in which ownVersion was read or written; used by writeLoop only
 	ownChanged     chan struct{}      // signals that own or departures may differ from the row
 	changes        uint64             // of own and departures so far
 	stored         uint64             // how many of them are in the row
 	ownStored      chan struct{}      // closed and replaced when stored rises
-	version        uint64             // incremented by each call of apply, even if no row changed
+	version        uint64             // incremented by each call of update, even if no row changed
 	storeReachable bool               // the latest read or watch of the store succeeded; true before the first one
 	loaded         bool               // all rows were read once, from the store or another node
 	recalled       edge.Departures    // departures in the own row as the store had it, from earlier processes
@@ -53,6 +54,7 @@
 	ownReadOnce    sync.Once          // guards the close of ownRead
 	seedAddress    string             // peers address passed to ObservePeer; used while no other member is known
 
+	restored       chan struct{} // signals that the store has come back from a copy
 	interrupter    interrupt.Interrupter
 	fetchRequested chan struct{} // signals that rows of another node are needed
 }
@@ -60,7 +62,7 @@
 // New returns an empty Directory; Run fills it and keeps it up to date.
 func New(cfg Config) *Directory {
 	return &Directory{
-		cfg: cfg, rows: map[string]entry{}, byService: map[string][]balancer.Endpoint{},
+		cfg: cfg, view: fleetview.New(cfg.Node, cfg.Log), byService: map[string][]balancer.Endpoint{}, restored: make(chan struct{}, 1),
 		ownChanged: make(chan struct{}, 1), ownStored: make(chan struct{}), ownRead: make(chan struct{}),
 		storeReachable: true, fetchRequested: make(chan struct{}, 1),
 	}
@@ -119,7 +121,7 @@
 		return
 	}
 	// The local view is updated without waiting for the store.
-	d.apply([]store.Row{}, own)
+	d.update(func(v *fleetview.View) { v.SetOwn(*own) })
 	d.requestWrite()
 }
 
@@ -130,6 +132,7 @@
 	wg.Go(func() { d.writeLoop(ctx) })
 	wg.Go(func() { d.watchLoop(ctx) })
 	wg.Go(func() { d.fetchLoop(ctx) })
+	wg.Go(func() { d.recoverLoop(ctx) })
 	wg.Wait()
 }
 
@@ -149,29 +152,19 @@
 	return d.cfg.Table.Remove(ctx, key, row.Version)
 }
 
-// apply merges changed rows, and the node's own endpoint unless it is nil, and
-// notifies the watchers of all services that have or had endpoints.
-func (d *Directory) apply(rows []store.Row, own *balancer.Endpoint) {
+// apply merges changed rows and notifies the watchers of all services that have or had
+// endpoints.
+func (d *Directory) apply(rows []store.Row) {
+	d.update(func(v *fleetview.View) { v.Apply(rows) })
+}
+
+// update changes the view and notifies the watchers.
+func (d *Directory) update(change func(*fleetview.View)) {
 	d.mu.Lock()
+	change(d.view)
 	before := d.byService
-	for _, row := range rows {
-		d.applyRow(row)
-	}
-	if own != nil {
-		d.rows[d.cfg.Node] = entry{revision: d.rows[d.cfg.Node].revision, rowValue: rowValue{Endpoint: *own}}
-	}
-	next := map[string][]balancer.Endpoint{}
-	newest := d.newestByAddress()
-	members := make([]balancer.Endpoint, 0, len(d.rows))
-	for node, e := range d.rows {
-		if newest[e.Endpoint.PeerAddress] != node {
-			continue
-		}
-		members = append(members, e.Endpoint)
-		next[e.Endpoint.Service] = append(next[e.Endpoint.Service], e.Endpoint)
-	}
-	d.byService = next
-	d.members = members
+	d.members, d.byService = d.view.Fleet()
+	next := d.byService
 	d.version++
 	watchers := d.watchers
 	d.mu.Unlock()
@@ -185,53 +178,12 @@
 	}
 }
 
-// newestByAddress returns, by peers address, the node with the newest row. If two
-// nodes have rows with the same address, the one with the older row has stopped. The
-// node's own row always counts as the newest. The caller holds d.mu.
-func (d *Directory) newestByAddress() map[string]string {
-	newest := make(map[string]string, len(d.rows))
-	for node, e := range d.rows {
-		other, taken := newest[e.Endpoint.PeerAddress]
-		if !taken || node == d.cfg.Node || other != d.cfg.Node && d.rows[other].revision < e.revision {
-			newest[e.Endpoint.PeerAddress] = node
-		}
-	}
-	return newest
-}
-
 func notify(watchers []func(string), service string) {
 	for _, f := range watchers {
 		f(service)
 	}
 }
 
-// applyRow merges one row and ignores it if a newer revision is known. Of the node's own
-// row only the revision is taken while an endpoint is announced. The caller holds d.mu.
-func (d *Directory) applyRow(row store.Row) {
-	node, ok := strings.CutPrefix(row.Key, RowPrefix)
-	if !ok || row.Revision < d.rows[node].revision {
-		return
-	}
-	if node == d.cfg.Node && d.own != nil {
-		d.rows[node] = entry{revision: row.Revision, rowValue: rowValue{Endpoint: *d.own}}
-		return
-	}
-	if row.Deleted {
-		if _, known := d.rows[node]; known {
-			delete(d.rows, node)
-			d.cfg.Log.Info("node_removed", "node", node, "revision", row.Revision)
-		}
-		return
-	}
-	e, err := decodeRow(node, row.Value)
-	if err != nil {
-		d.cfg.Log.Info("endpoint_unreadable", "node", node, "error", err.Error())
-		return
-	}
-	d.rows[node] = entry{revision: row.Revision, rowValue: e}
-	d.cfg.Log.Info("endpoint_known", "node", node, "service", e.Service, "state", int(e.State), "revision", row.Revision)
-}
-
 // setStoreReachable records whether the store answered, and logs each change.
 func (d *Directory) setStoreReachable(up bool, err error) {
 	d.mu.Lock()
--- a/directory/fetch.go
+++ b/directory/fetch.go
@@ -82,18 +82,7 @@
 func (d *Directory) storedRows() (rows []store.Row, loaded bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for node, e := range d.rows {
-		if e.revision == 0 {
-			continue // the own row, which is not yet known to be stored
-		}
-		value, err := cbor.Marshal(&e.rowValue)
-		if err != nil {
-			d.cfg.Log.Error(err, "endpoint_not_encoded", "node", node)
-			continue
-		}
-		rows = append(rows, store.Row{Key: RowPrefix + node, Revision: e.revision, Value: value})
-	}
-	return rows, d.loaded
+	return d.view.StoredRows(), d.loaded
 }
 
 // ObservePeer records that the node whose peers listener is at address (ip:port) is
@@ -200,6 +189,6 @@
 	if first {
 		d.cfg.Log.Info("endpoints_learned", "from", address, "rows", len(rows))
 	}
-	d.apply(rows, nil)
+	d.apply(rows)
 	return nil
 }
--- a/directory/ownrow.go
+++ b/directory/ownrow.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/fleetview"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/store"
 )
@@ -48,7 +49,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := d.putOwn(ctx, own)
+	var err error
+	if d.ownEra != 0 && d.ownEra != d.cfg.Table.Era() {
+		err = d.readOwn(ctx)
+	}
+	if err == nil {
+		err = d.putOwn(ctx, own)
+	}
 	if store.ErrConflict.Has(err) {
 		// The row was written by an earlier process of this node, by another writer, or by
 		// a call whose response was lost.
@@ -66,10 +73,12 @@
 }
 
 // putOwn writes the own row if its version in the store is ownVersion. What earlier
-// processes have stored of departures stays in it.
+// processes have stored of departures stays in it. It returns an error if the store came back
+// from a copy meanwhile, which may lack the row.
 func (d *Directory) putOwn(ctx context.Context, own *balancer.Endpoint) error {
+	era := d.cfg.Table.Era()
 	d.mu.Lock()
-	value := newRowValue(*own, d.recalled.Merge(d.departures))
+	value := fleetview.NewRow(*own, d.recalled.Merge(d.departures), era)
 	d.mu.Unlock()
 	encoded, err := cbor.Marshal(&value)
 	if err != nil {
@@ -82,7 +91,10 @@
 	if d.ownVersion == 0 {
 		d.noteOwnRow(nil)
 	}
-	d.ownVersion = version
+	d.ownVersion, d.ownEra = version, era
+	if now := d.cfg.Table.Era(); now != era {
+		return Error.New("the row was written in era %d, and the store is in era %d", era, now)
+	}
 	return nil
 }
 
@@ -91,13 +103,13 @@
 	row, err := d.cfg.Table.Get(ctx, RowPrefix+d.cfg.Node)
 	switch {
 	case store.ErrNotFound.Has(err):
-		d.ownVersion = 0
+		d.ownVersion, d.ownEra = 0, d.cfg.Table.Era()
 		d.noteOwnRow(nil)
 		return nil
 	case err != nil:
 		return err
 	}
-	d.ownVersion = row.Version
+	d.ownVersion, d.ownEra = row.Version, row.Era
 	d.noteOwnRow(row.Value)
 	return nil
 }
@@ -113,15 +125,15 @@
 
 // noteOwnRow records what the own row in the store says, nil if there is none.
 func (d *Directory) noteOwnRow(value []byte) {
-	var own rowValue
+	var own fleetview.Row
 	if value != nil {
 		var err error
-		if own, err = decodeRow(d.cfg.Node, value); err != nil {
+		if own, err = fleetview.DecodeRow(d.cfg.Node, value); err != nil {
 			d.cfg.Log.Info("endpoint_unreadable", "node", d.cfg.Node, "error", err.Error())
 		}
 	}
 	d.mu.Lock()
-	d.recalled = d.recalled.Merge(own.departures())
+	d.recalled = d.recalled.Merge(own.Departures())
 	d.mu.Unlock()
 	d.ownReadOnce.Do(func() { close(d.ownRead) })
 }
--- a/directory/remember.go
+++ b/directory/remember.go
@@ -19,8 +19,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
-		copied := d.rows[d.cfg.Node]
-		return copied.departures(), err
+		return d.view.Departures(d.cfg.Node), err
 	}
 	return d.recalled, nil
 }
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dotterelseam/dotterelseam/internal/fleetview"
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/store"
 )
@@ -47,13 +48,11 @@
 		d.setStoreReachable(true, nil)
 		if !synced {
 			d.noteOwnRow(d.findOwn(changes.Rows))
-			changes.Rows = append(changes.Rows, d.removals(changes)...)
-			d.mu.Lock()
-			d.loaded = true
-			d.mu.Unlock()
+			d.applySnapshot(changes)
+		} else {
+			d.apply(changes.Rows)
 		}
 		position, synced = changes.Position, true
-		d.apply(changes.Rows, nil)
 		if len(changes.Rows) > 0 {
 			pause.For(ctx, d.delayAfterChange())
 		}
@@ -89,20 +88,14 @@
 	return min(max(batchDelay*time.Duration(len(nodes))/batchDelayNodes, batchDelay), maxBatchDelay)
 }
 
-// removals returns deletions of the known rows that are missing from a snapshot. A row
-// that is newer than the snapshot, or not yet known to be stored, is kept.
-func (d *Directory) removals(snapshot store.Changes) []store.Row {
-	present := map[string]bool{}
-	for _, row := range snapshot.Rows {
-		present[row.Key] = true
+// applySnapshot merges all rows of the store.
+func (d *Directory) applySnapshot(snapshot store.Changes) {
+	restored := false
+	d.update(func(v *fleetview.View) {
+		restored = v.ApplySnapshot(snapshot)
+		d.loaded = true
+	})
+	if restored {
+		d.requestRecovery()
 	}
-	var removed []store.Row
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for node, e := range d.rows {
-		if key := RowPrefix + node; !present[key] && e.revision <= snapshot.Position.Revision && e.revision > 0 {
-			removed = append(removed, store.Row{Key: key, Revision: snapshot.Position.Revision, Deleted: true})
-		}
-	}
-	return removed
 }
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -111,6 +111,10 @@
 // it. w must not block.
 func (f *Follower) OnStalledWatch(w func()) { f.stallWatchers = append(f.stallWatchers, w) }
 
+// Resync interrupts a waiting call to the source, so that the configuration is read again. It
+// has no effect if no call is waiting. It does not block.
+func (f *Follower) Resync() { f.interrupter.Interrupt() }
+
 // ObserveVersion records that the node whose peers listener is at address (ip:port) has
 // applied a version. A newer one is fetched from there if the source does not answer or
 // does not deliver it within staleThreshold. At most one fetch is in progress; further
--- a/directory/row.go
+++ b/internal/fleetview/row.go
@@ -1,4 +1,4 @@
-package directory
+package fleetview
 
 import (
 	"net"
@@ -6,11 +6,16 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
 	"github.com/dotterelseam/dotterelseam/edge"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
+// Error is the class of errors of rows that no node can have written.
+var Error = errs.Class("row of a node")
+
 // Limits of the fields of a row. A row beyond them was not written by a node.
 const (
 	maxSlots     = 1 << 20 // also of connections
@@ -18,45 +23,41 @@
 	maxNameBytes = 200 // of a service, data centre or region
 )
 
-// entry is the row of one node.
-type entry struct {
-	revision uint64 // of the row in the store; 0 if the own row is not known to be stored
-	rowValue
-}
-
-// rowValue is the content of a row.
-type rowValue struct {
+// Row is the content of a node's row.
+type Row struct {
 	balancer.Endpoint
 	// The departures are read by later processes of the same node only.
 	Departure       *edge.Departure  `cbor:"20,keyasint,omitempty"` // the newest
 	OtherDepartures []edge.Departure `cbor:"21,keyasint,omitempty"`
+	Era             store.Era        `cbor:"22,keyasint,omitempty"` // in which the node wrote the row
 }
 
-// newRowValue returns the row of an endpoint.
-func newRowValue(e balancer.Endpoint, d edge.Departures) rowValue {
-	v := rowValue{Endpoint: e, OtherDepartures: d.Others}
+// NewRow returns the row of an endpoint, to be written in an era.
+func NewRow(e balancer.Endpoint, d edge.Departures, era store.Era) Row {
+	r := Row{Endpoint: e, OtherDepartures: d.Others, Era: era}
 	if d.Newest != (edge.Departure{}) {
-		v.Departure = &d.Newest
+		r.Departure = &d.Newest
 	}
-	return v
+	return r
 }
 
-func (v *rowValue) departures() edge.Departures {
-	d := edge.Departures{Others: v.OtherDepartures}
-	if v.Departure != nil {
-		d.Newest = *v.Departure
+// Departures returns the departures in the row.
+func (r *Row) Departures() edge.Departures {
+	d := edge.Departures{Others: r.OtherDepartures}
+	if r.Departure != nil {
+		d.Newest = *r.Departure
 	}
 	return d
 }
 
-// decodeRow decodes the row of a node. The error is of class Error if another writer put it
+// DecodeRow decodes the row of a node. The error is of class Error if another writer put it
 // there: it then names no endpoint that could be used.
-func decodeRow(node string, raw []byte) (rowValue, error) {
-	var v rowValue
-	if err := cbor.Unmarshal(raw, &v); err != nil {
-		return rowValue{}, Error.Wrap(err)
+func DecodeRow(node string, raw []byte) (Row, error) {
+	var r Row
+	if err := cbor.Unmarshal(raw, &r); err != nil {
+		return Row{}, Error.Wrap(err)
 	}
-	return v, validate(node, &v.Endpoint)
+	return r, validate(node, &r.Endpoint)
 }
 
 func validate(node string, e *balancer.Endpoint) error {
--- /dev/null
+++ b/internal/sidecar/restore_test.go
@@ -0,0 +1,50 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dotterelseam/dotterelseam/directory"
+	"github.com/dotterelseam/dotterelseam/internal/standin"
+)
+
+// drill lets the store go away and come back from a copy that was taken after a transaction.
+func (f *fleet) drill(copied uint64) {
+	f.standIn.SetFaults(standin.PlatformFaults{Away: true})
+	f.standIn.Restore(copied)
+	f.standIn.SetFaults(standin.PlatformFaults{})
+}
+
+// awaitMembers waits until each host knows all of them, and the store has their rows.
+func awaitMembers(t *testing.T, hosts ...*host) {
+	t.Helper()
+	waitUntil(t, func() string {
+		for _, h := range hosts {
+			if _, nodes := h.sidecar.directory.Members(); len(nodes) != len(hosts) {
+				return fmt.Sprintf("%s knows %d nodes", h.id, len(nodes))
+			}
+			if !h.fleet.standIn.Has("dotterel", directory.RowPrefix+h.id) {
+				return "the store has no row of " + h.id
+			}
+		}
+		return ""
+	})
+}
+
+// Guards against a node whose row was lost when the store came back from a copy, and which the
+// others forget: they divide the limits of workspaces among fewer nodes than use them, and
+// send it no requests.
+func TestNewNodeOutlastsRestore(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.host("shop-1", "shop"), f.host("shop-2", "shop")
+	f.configure(4, farm)
+	awaitMembers(t, a, b)
+	copied := f.standIn.Ver()
+	c := f.host("shop-3", "shop")
+	awaitMembers(t, a, b, c)
+	f.drill(copied)
+	awaitMembers(t, a, b, c)
+	for _, h := range []*host{a, b, c} {
+		h.awaitEndpoints("shop", 3)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 	"github.com/dotterelseam/dotterelseam/platform"
 	"github.com/dotterelseam/dotterelseam/retry"
 	"github.com/dotterelseam/dotterelseam/settings"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 // Error is the class of errors of this package.
@@ -105,6 +106,10 @@
 		Client: peers, PickPeer: d.directory.RandomPeer, CountPeers: d.directory.CountPeers, Address: s.Addresses.Advertised(),
 	})
 	d.config.OnStalledWatch(d.directory.Resync)
+	client.OnNewEra(func(store.Era) {
+		d.directory.Resync()
+		d.config.Resync()
+	})
 	d.config.Watch(func(c *config.Snapshot) { d.quota.Configure(c.Document.Fleet.Workspaces) })
 	if err := d.listen(); err != nil {
 		return nil, err
