directory: a departure outlasts a store that comes back from a copy

A server whose leaving was acknowledged got requests again after the store had come back from a copy from before that, its node was killed, and a heartbeat arrived late.

Cause: a new process takes the row that the store has for all that earlier processes have acknowledged. After a restore it may be older, and nobody had written it again.

Ruled out: an acknowledgement before the write (the row had version 2), and a heartbeat that counts as a new start (it names the one that left).

Change: a row of an earlier era, or none in a later one, is not complete. Departures are told to other nodes before they are acknowledged, so that they know them also when the store goes away at once.

--- /dev/null
+++ b/directory/consult.go
@@ -0,0 +1,203 @@
+package directory
+
+import (
+	"context"
+	"encoding/base64"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/edge"
+	"github.com/dotterelseam/dotterelseam/internal/fleetview"
+	"github.com/dotterelseam/dotterelseam/internal/nodecall"
+	"github.com/dotterelseam/dotterelseam/internal/pause"
+	"github.com/dotterelseam/dotterelseam/internal/rendezvous"
+)
+
+// A store that comes back from a copy may have lost the departures that were acknowledged last.
+// Each is therefore told to some other nodes too, and a process that starts in a later era asks
+// them what they know.
+const (
+	toldNodes   = 4 // nodes that are told of a departure
+	neededTold  = 2 // of them, that have to answer before it is acknowledged
+	tellTimeout = 300 * time.Millisecond
+	// askedNodes is above toldNodes, as the nodes change between the two.
+	askedNodes      = 8
+	consultInterval = 500 * time.Millisecond
+	// Parameters of requests at EndpointsPath: knownParameter asks for a fleetview.Known,
+	// departuresParameter holds the edge.Departures of the node in nodeParameter, as CBOR in
+	// base64.
+	knownParameter      = "known"
+	departuresParameter = "departures"
+)
+
+// nodesInCharge returns the peers addresses of up to n other nodes that remember the departures
+// of this node.
+func (d *Directory) nodesInCharge(n int) []string {
+	_, members := d.knownMembers()
+	others := slices.DeleteFunc(slices.Clone(members), func(e balancer.Endpoint) bool { return e.Node == d.cfg.Node })
+	slices.SortFunc(others, func(a, b balancer.Endpoint) int {
+		if rendezvous.Hash(d.cfg.Node, a.Node) > rendezvous.Hash(d.cfg.Node, b.Node) {
+			return -1
+		}
+		return 1
+	})
+	var addresses []string
+	for _, e := range others[:min(n, len(others))] {
+		addresses = append(addresses, e.PeerAddress)
+	}
+	return addresses
+}
+
+// tell tells other nodes of the departures on this host, and returns when enough of them have
+// answered, or all, or after tellTimeout. It returns how many have. The store has the departures
+// too, so it is no error if nobody answers.
+func (d *Directory) tell(ctx context.Context, departures edge.Departures) (told int) {
+	raw, err := cbor.Marshal(departures)
+	if err != nil {
+		d.cfg.Log.Error(err, "departures_not_encoded")
+		return 0
+	}
+	query := url.Values{nodeParameter: {d.cfg.Node}, departuresParameter: {base64.RawURLEncoding.EncodeToString(raw)}}
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	addresses := d.nodesInCharge(toldNodes)
+	answered := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			_, err := nodecall.Do(ctx, d.cfg.Client, http.MethodPost, address, EndpointsPath+"?"+query.Encode(), 0)
+			answered <- err == nil
+		}()
+	}
+	for range addresses {
+		if <-answered {
+			told++
+		}
+		if told == neededTold {
+			break
+		}
+	}
+	d.cfg.Log.Info("departure_told", "nodes", told, "of", len(addresses))
+	return told
+}
+
+// serveTold handles the request of tell.
+func (d *Directory) serveTold(w http.ResponseWriter, r *http.Request) {
+	node := r.URL.Query().Get(nodeParameter)
+	raw, err := base64.RawURLEncoding.DecodeString(r.URL.Query().Get(departuresParameter))
+	var departures edge.Departures
+	if err == nil {
+		err = cbor.Unmarshal(raw, &departures)
+	}
+	if err != nil || node == "" || len(departures.Others) > edge.MaxOtherDepartures {
+		http.Error(w, "the request names no departures of a node", http.StatusBadRequest)
+		return
+	}
+	d.mu.Lock()
+	d.view.NoteDepartures(node, departures)
+	d.mu.Unlock()
+}
+
+// serveKnown responds with what this node knows, as a fleetview.Known.
+func (d *Directory) serveKnown(w http.ResponseWriter) {
+	d.mu.Lock()
+	known := d.view.Known()
+	d.mu.Unlock()
+	d.respond(w, &known)
+}
+
+// requestConsultation makes consultLoop ask other nodes what the store has lost.
+func (d *Directory) requestConsultation() {
+	select {
+	case d.consultRequested <- struct{}{}:
+	default:
+	}
+}
+
+// consultLoop asks other nodes on request, until it is known what earlier processes of this
+// node have stored. It runs until ctx ends.
+func (d *Directory) consultLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.consultRequested:
+		}
+		started := time.Now()
+		d.consult(ctx)
+		for !d.knowsOwnRow() {
+			if time.Since(started) > recoveryTime+d.rewriteSpread() && !d.hasEarlierRows() {
+				d.noteOwn(func(r *fleetview.Recall) { r.NoteNewFleet() })
+				break
+			}
+			if !pause.For(ctx, consultInterval) {
+				return
+			}
+			d.consult(ctx)
+		}
+		d.requestRecovery(false)
+	}
+}
+
+// consult asks other nodes once. All rows count as read after that.
+func (d *Directory) consult(ctx context.Context) {
+	era := d.cfg.Table.Era()
+	answers := d.askNodes(ctx)
+	remembering := 0
+	d.update(func(v *fleetview.View) {
+		for i := range answers {
+			v.ApplyKnown(&answers[i])
+			if answers[i].Remembers(era) {
+				remembering++
+			}
+		}
+		d.loaded = true
+	})
+	d.cfg.Log.Info("nodes_consulted", "era", uint64(era), "answers", len(answers), "remembering", remembering)
+	d.noteOwn(func(r *fleetview.Recall) { r.NoteAnswers(answers, d.cfg.Node, era) })
+}
+
+// askNodes returns what the other nodes that answer within fetchTimeout know.
+func (d *Directory) askNodes(ctx context.Context) []fleetview.Known {
+	if d.cfg.Client == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var answers []fleetview.Known
+	var asking sync.WaitGroup
+	for _, address := range d.nodesInCharge(askedNodes) {
+		asking.Go(func() {
+			known, err := d.askNode(ctx, address)
+			if err != nil {
+				d.cfg.Log.Info("node_not_consulted", "address", address, "error", err.Error())
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, known)
+		})
+	}
+	asking.Wait()
+	return answers
+}
+
+func (d *Directory) askNode(ctx context.Context, address string) (known fleetview.Known, err error) {
+	raw, err := nodecall.Do(ctx, d.cfg.Client, http.MethodGet, address, EndpointsPath+"?"+url.Values{knownParameter: {"1"}}.Encode(), maxFetchBytes)
+	if err != nil {
+		return known, Error.Wrap(err)
+	}
+	return known, Error.Wrap(cbor.Unmarshal(raw, &known))
+}
+
+func (d *Directory) hasEarlierRows() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.HasEarlierRows()
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,20 +49,23 @@
 	version        uint64             // incremented by each call of update, even if no row changed
 	storeReachable bool               // the latest read or watch of the store succeeded; true before the first one
 	loaded         bool               // all rows were read once, from the store or another node
-	recalled       edge.Departures    // departures in the own row as the store had it, from earlier processes
-	ownRead        chan struct{}      // closed once recalled is known
+	recall         fleetview.Recall   // departures that earlier processes of this node have acknowledged
+	ownRead        chan struct{}      // closed once recall is complete
+	told           edge.Departures    // departures that another node was told of last
+	rewrite        bool               // the own row has to be written again since the store came back from a copy
 	ownReadOnce    sync.Once          // guards the close of ownRead
 	seedAddress    string             // peers address passed to ObservePeer; used while no other member is known
 
-	restored       chan struct{} // signals that the store has come back from a copy
-	interrupter    interrupt.Interrupter
-	fetchRequested chan struct{} // signals that rows of another node are needed
+	recovering       chan struct{} // signals that the store may lack rows that are written again
+	consultRequested chan struct{} // signals that other nodes have to be asked what the store has lost
+	interrupter      interrupt.Interrupter
+	fetchRequested   chan struct{} // signals that rows of another node are needed
 }
 
 // New returns an empty Directory; Run fills it and keeps it up to date.
 func New(cfg Config) *Directory {
 	return &Directory{
-		cfg: cfg, view: fleetview.New(cfg.Node, cfg.Log), byService: map[string][]balancer.Endpoint{}, restored: make(chan struct{}, 1),
+		cfg: cfg, view: fleetview.New(cfg.Node, cfg.Log), byService: map[string][]balancer.Endpoint{}, recovering: make(chan struct{}, 1), consultRequested: make(chan struct{}, 1),
 		ownChanged: make(chan struct{}, 1), ownStored: make(chan struct{}), ownRead: make(chan struct{}),
 		storeReachable: true, fetchRequested: make(chan struct{}, 1),
 	}
@@ -97,6 +100,13 @@
 	return d.version, d.members
 }
 
+// knownMembers is Members also before all rows were read.
+func (d *Directory) knownMembers() (version uint64, nodes []balancer.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version, d.members
+}
+
 // Resync interrupts a waiting call to the store, so that all rows are read again on
 // another connection. It has no effect if no call is waiting. It does not block.
 func (d *Directory) Resync() { d.interrupter.Interrupt() }
@@ -133,6 +143,7 @@
 	wg.Go(func() { d.watchLoop(ctx) })
 	wg.Go(func() { d.fetchLoop(ctx) })
 	wg.Go(func() { d.recoverLoop(ctx) })
+	wg.Go(func() { d.consultLoop(ctx) })
 	wg.Wait()
 }
 
--- a/directory/fetch.go
+++ b/directory/fetch.go
@@ -33,15 +33,25 @@
 
 // currentRow is what the store says of the row of one node.
 type currentRow struct {
-	Found bool   `cbor:"1,keyasint"`
-	Value []byte `cbor:"2,keyasint,omitempty"`
+	Found bool      `cbor:"1,keyasint"`
+	Value []byte    `cbor:"2,keyasint,omitempty"`
+	Era   store.Era `cbor:"3,keyasint,omitempty"` // in which it was read
 }
 
 // Handler responds with the rows that this node knows, as a CBOR array of store.Row, or
 // with 404 until all rows were read once. If the query names a node, it reads that node's
-// row from the store and responds with a currentRow, or with 503 if it cannot.
+// row from the store and responds with a currentRow, or with 503 if it cannot. It also
+// serves the requests that consult and tell send.
 func (d *Directory) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			d.serveTold(w, r)
+			return
+		}
+		if r.URL.Query().Has(knownParameter) {
+			d.serveKnown(w)
+			return
+		}
 		if node := r.URL.Query().Get(nodeParameter); node != "" {
 			d.serveCurrentRow(w, r, node)
 			return
@@ -64,7 +74,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	d.respond(w, currentRow{Found: err == nil, Value: row.Value})
+	d.respond(w, currentRow{Found: err == nil, Value: row.Value, Era: d.cfg.Table.Era()})
 }
 
 func (d *Directory) respond(w http.ResponseWriter, v any) {
@@ -149,7 +159,7 @@
 		return
 	}
 	d.cfg.Log.Info("own_endpoint_read", "through", address, "found", row.Found)
-	d.noteOwnRow(row.Value)
+	d.noteOwnRow(row.Value, row.Era)
 }
 
 // RandomPeer returns the peers address (ip:port) of a random other node, or "" if none
--- a/directory/ownrow.go
+++ b/directory/ownrow.go
@@ -78,7 +78,7 @@
 func (d *Directory) putOwn(ctx context.Context, own *balancer.Endpoint) error {
 	era := d.cfg.Table.Era()
 	d.mu.Lock()
-	value := fleetview.NewRow(*own, d.recalled.Merge(d.departures), era)
+	value := fleetview.NewRow(*own, d.recall.Departures().Merge(d.departures), era)
 	d.mu.Unlock()
 	encoded, err := cbor.Marshal(&value)
 	if err != nil {
@@ -89,7 +89,7 @@
 		return err
 	}
 	if d.ownVersion == 0 {
-		d.noteOwnRow(nil)
+		d.noteOwnRow(nil, era)
 	}
 	d.ownVersion, d.ownEra = version, era
 	if now := d.cfg.Table.Era(); now != era {
@@ -104,13 +104,13 @@
 	switch {
 	case store.ErrNotFound.Has(err):
 		d.ownVersion, d.ownEra = 0, d.cfg.Table.Era()
-		d.noteOwnRow(nil)
+		d.noteOwnRow(nil, d.ownEra)
 		return nil
 	case err != nil:
 		return err
 	}
 	d.ownVersion, d.ownEra = row.Version, row.Era
-	d.noteOwnRow(row.Value)
+	d.noteOwnRow(row.Value, row.Era)
 	return nil
 }
 
@@ -123,19 +123,32 @@
 	d.ownStored = make(chan struct{})
 }
 
-// noteOwnRow records what the own row in the store says, nil if there is none.
-func (d *Directory) noteOwnRow(value []byte) {
-	var own fleetview.Row
+// noteOwnRow records what the own row in the store says, nil if there is none, when it was
+// read in an era.
+func (d *Directory) noteOwnRow(value []byte, era store.Era) {
+	var own *fleetview.Row
 	if value != nil {
-		var err error
-		if own, err = fleetview.DecodeRow(d.cfg.Node, value); err != nil {
+		read, err := fleetview.DecodeRow(d.cfg.Node, value)
+		if err != nil {
 			d.cfg.Log.Info("endpoint_unreadable", "node", d.cfg.Node, "error", err.Error())
 		}
+		own = &read
 	}
+	d.noteOwn(func(r *fleetview.Recall) { r.NoteStored(own, era) })
+	if !d.knowsOwnRow() {
+		d.requestConsultation()
+	}
+}
+
+// noteOwn adds to what is known of earlier processes of this node.
+func (d *Directory) noteOwn(note func(*fleetview.Recall)) {
 	d.mu.Lock()
-	d.recalled = d.recalled.Merge(own.Departures())
+	note(&d.recall)
+	complete := d.recall.Complete()
 	d.mu.Unlock()
-	d.ownReadOnce.Do(func() { close(d.ownRead) })
+	if complete {
+		d.ownReadOnce.Do(func() { close(d.ownRead) })
+	}
 }
 
 // findOwn returns the value of the own row among all rows of the store, or nil.
--- a/directory/recover.go
+++ b/directory/recover.go
@@ -19,13 +19,17 @@
 	recoveryTime = 2 * time.Second
 )
 
-// requestRecovery makes recoverLoop write the own row again.
-func (d *Directory) requestRecovery() {
+// requestRecovery makes recoverLoop wait until all nodes have written their rows again, and
+// write the own row if rewrite is set.
+func (d *Directory) requestRecovery(rewrite bool) {
 	d.mu.Lock()
-	d.changes++ // Flush waits until the row is stored again
+	if rewrite {
+		d.rewrite = true
+		d.changes++ // Flush waits until the row is stored again
+	}
 	d.mu.Unlock()
 	select {
-	case d.restored <- struct{}{}:
+	case d.recovering <- struct{}{}:
 	default:
 	}
 }
@@ -39,19 +43,39 @@
 		case <-ctx.Done():
 			return
 		case <-ended:
-			d.update((*fleetview.View).EndRecovery)
 			ended = nil
-		case <-d.restored:
+			if !d.isStoreReachable() { // other nodes may have written their rows without this one knowing
+				ended = time.After(recoveryTime)
+				continue
+			}
+			d.update((*fleetview.View).EndRecovery)
+		case <-d.recovering:
 			spread := d.rewriteSpread()
-			if !pause.For(ctx, rand.N(spread)) {
-				return
+			if d.takeRewrite() {
+				if !pause.For(ctx, rand.N(spread)) {
+					return
+				}
+				d.requestWrite()
 			}
-			d.requestWrite()
 			ended = time.After(spread + recoveryTime)
 		}
 	}
 }
 
+func (d *Directory) isStoreReachable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.storeReachable
+}
+
+func (d *Directory) takeRewrite() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rewrite := d.rewrite
+	d.rewrite = false
+	return rewrite
+}
+
 // rewriteSpread returns the time in which all nodes write their rows again.
 func (d *Directory) rewriteSpread() time.Duration {
 	return rewriteTimePerNode * time.Duration(d.CountPeers()+1)
--- a/directory/remember.go
+++ b/directory/remember.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return d.view.Departures(d.cfg.Node), err
 	}
-	return d.recalled, nil
+	return d.recall.Departures(), nil
 }
 
 // Remember implements node.BackendStore.
@@ -34,11 +34,13 @@
 	}
 }
 
-// Flush implements node.BackendStore. It returns at once if no endpoint was announced.
+// Flush implements node.BackendStore. It returns at once if no endpoint was announced. Other
+// nodes are told at the same time.
 func (d *Directory) Flush(ctx context.Context) error {
 	d.mu.Lock()
 	wanted, written := d.changes, d.own != nil
 	d.mu.Unlock()
+	told := d.tellOnce(ctx)
 	for written {
 		d.mu.Lock()
 		done, stored := d.stored >= wanted, d.ownStored
@@ -53,5 +55,30 @@
 			return Error.Wrap(ctx.Err())
 		}
 	}
+	<-told
 	return nil
 }
+
+// tellOnce tells other nodes of the departures unless one knows them already, and closes the
+// returned channel at the end.
+func (d *Directory) tellOnce(ctx context.Context) <-chan struct{} {
+	d.mu.Lock()
+	departures := d.departures
+	needed := d.cfg.Client != nil && !departures.Equal(d.told)
+	d.mu.Unlock()
+	done := make(chan struct{})
+	if !needed {
+		close(done)
+		return done
+	}
+	go func() {
+		defer close(done)
+		if d.tell(ctx, departures) == 0 {
+			return
+		}
+		d.mu.Lock()
+		d.told = departures
+		d.mu.Unlock()
+	}()
+	return done
+}
--- a/directory/watch.go
+++ b/directory/watch.go
@@ -47,7 +47,6 @@
 		}
 		d.setStoreReachable(true, nil)
 		if !synced {
-			d.noteOwnRow(d.findOwn(changes.Rows))
 			d.applySnapshot(changes)
 		} else {
 			d.apply(changes.Rows)
@@ -88,14 +87,26 @@
 	return min(max(batchDelay*time.Duration(len(nodes))/batchDelayNodes, batchDelay), maxBatchDelay)
 }
 
-// applySnapshot merges all rows of the store.
+// applySnapshot merges all rows of the store. A process that has started since the store came
+// back from a copy has not read all rows before other nodes have told what the store lacks.
 func (d *Directory) applySnapshot(snapshot store.Changes) {
-	restored := false
+	restored, complete := false, false
 	d.update(func(v *fleetview.View) {
 		restored = v.ApplySnapshot(snapshot)
-		d.loaded = true
+		complete = !snapshot.Position.Era.IsLater() || restored
+		d.loaded = d.loaded || complete
 	})
 	if restored {
-		d.requestRecovery()
+		d.requestRecovery(true)
 	}
+	d.noteOwnRow(d.findOwn(snapshot.Rows), snapshot.Position.Era)
+	if !d.hasLoaded() {
+		d.requestConsultation()
+	}
+}
+
+func (d *Directory) hasLoaded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loaded
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -24,10 +24,8 @@
 	// copy keeps the era of that write, also when it is read from the store again. The
 	// revision is 0 if the own row is not known to be stored.
 	position store.Position
-	// departures of all rows of the node that were read. They never become fewer.
-	departures edge.Departures
-	seenIn     store.Era // newest era in which the store was seen to have a row of the node
-	lost       bool      // the store came back without a row, and nobody has written one since
+	seenIn   store.Era // newest era in which the store was seen to have a row of the node
+	lost     bool      // the store came back without a row, and nobody has written one since
 }
 
 // View is what one node believes of the rows of all nodes. It is not safe for concurrent use.
@@ -38,11 +36,14 @@
 	rows  map[string]entry   // by node
 	era   store.Era          // newest era in which rows were read from the store
 	since store.Era          // era in which this process first read all rows
+	// departures of the backend servers by node, from all rows that were read and what the
+	// nodes have told. They never become fewer while the node has a row.
+	departures map[string]edge.Departures
 }
 
 // New returns the view of a node that knows no rows.
 func New(self string, log logr.Logger) *View {
-	return &View{self: self, log: log, rows: map[string]entry{}}
+	return &View{self: self, log: log, rows: map[string]entry{}, departures: map[string]edge.Departures{}}
 }
 
 // SetOwn replaces the endpoint of this node. What the store says of it is not used any more.
@@ -116,7 +117,7 @@
 	}
 	position := store.Position{Era: eraOfWrite(read.Era, row.Era), Revision: row.Revision}
 	newer := position.Compare(known.position) >= 0
-	known.departures = known.departures.Merge(read.Departures())
+	v.NoteDepartures(node, read.Departures())
 	if newer {
 		known.position, known.lost = position, false
 	}
@@ -142,6 +143,7 @@
 		return
 	}
 	delete(v.rows, node)
+	delete(v.departures, node)
 	v.log.Info("node_removed", "node", node, "revision", at.Revision)
 }
 
@@ -198,25 +200,31 @@
 		if e.position.Revision == 0 {
 			continue // the own row, which is not yet known to be stored
 		}
-		if row, ok := v.encode(node, &e); ok {
-			rows = append(rows, row)
+		row := NewRow(e.Endpoint, v.departures[node], e.position.Era)
+		value, err := cbor.Marshal(&row)
+		if err != nil {
+			v.log.Error(err, "endpoint_not_encoded", "node", node)
+			continue
 		}
+		rows = append(rows, store.Row{Key: RowPrefix + node, Revision: e.position.Revision, Era: e.position.Era, Value: value})
 	}
 	return rows
 }
 
-func (v *View) encode(node string, e *entry) (store.Row, bool) {
-	row := NewRow(e.Endpoint, e.departures, e.position.Era)
-	value, err := cbor.Marshal(&row)
-	if err != nil {
-		v.log.Error(err, "endpoint_not_encoded", "node", node)
-		return store.Row{}, false
-	}
-	return store.Row{Key: RowPrefix + node, Revision: e.position.Revision, Era: e.position.Era, Value: value}, true
-}
+// Departures returns the known departures of the backend servers beside a node.
+func (v *View) Departures(node string) edge.Departures { return v.departures[node] }
+
+// maxUnknownNodes limits the nodes without a row whose departures are kept.
+const maxUnknownNodes = 1024
 
-// Departures returns what all rows of a node that were read have said of departures.
-func (v *View) Departures(node string) edge.Departures {
-	known := v.rows[node]
-	return known.departures
+// NoteDepartures adds departures of the backend servers beside a node.
+func (v *View) NoteDepartures(node string, d edge.Departures) {
+	if d.IsZero() {
+		return
+	}
+	if _, exists := v.departures[node]; !exists && len(v.departures) >= len(v.rows)+maxUnknownNodes {
+		v.log.Info("departure_not_kept", "node", node)
+		return
+	}
+	v.departures[node] = v.departures[node].Merge(d)
 }
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/dotterelseam/dotterelseam/directory"
 	"github.com/dotterelseam/dotterelseam/internal/standin"
 )
@@ -48,3 +51,33 @@
 		h.awaitEndpoints("shop", 3)
 	}
 }
+
+// Guards against a backend server that has left and is in use again, because the store came
+// back from a copy from before its departure, its node was killed right after, and an earlier
+// announcement arrives late at the new process.
+func TestLeavingOutlastsRestore(t *testing.T) {
+	for name, leave := range map[string]func(h *host) int{
+		"deregistered": (*host).deregister,
+		"draining":     func(h *host) int { return h.sendHeartbeat(h.sequence.Add(1), "draining") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			leaving := newLeavingHost(t)
+			f, late := leaving.fleet, leaving.sequence.Load()
+			leaving.awaitEndpoints("shop", 2)
+			copied := f.standIn.Ver()
+			assert.Equal(t, leave(leaving), http.StatusOK)
+			leaving.stop()
+			f.drill(copied)
+			leaving.start()
+			waitUntil(t, func() string {
+				if status := leaving.sendHeartbeat(late, "ready"); status != http.StatusOK {
+					return fmt.Sprintf("the late announcement gets %d", status)
+				}
+				return ""
+			})
+			leaving.requireLeft(late)
+			leaving.born += 2
+			leaving.requireUsed()
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -106,6 +106,7 @@
 		Client: peers, PickPeer: d.directory.RandomPeer, CountPeers: d.directory.CountPeers, Address: s.Addresses.Advertised(),
 	})
 	d.config.OnStalledWatch(d.directory.Resync)
+	metrics.NewRegisteredFunctionalGauge("store_restores", d.metrics, func() int64 { return int64(client.Restores()) })
 	client.OnNewEra(func(store.Era) {
 		d.directory.Resync()
 		d.config.Resync()
@@ -137,6 +138,7 @@
 	mux.Handle("GET "+distribution.ConfigurationPath, d.config.Handler())
 	mux.Handle("GET "+distribution.VersionPath, d.config.Handler())
 	mux.Handle("GET "+directory.EndpointsPath, d.directory.Handler())
+	mux.Handle("POST "+directory.EndpointsPath, d.directory.Handler())
 	return mux
 }
 
--- a/internal/standin/restore.go
+++ b/internal/standin/restore.go
@@ -33,10 +33,19 @@
 // Restore replaces the rows by a copy that was taken after the transaction ver, and begins
 // the next era. The numbers of later transactions are given out again. Rows of the operator
 // and the backend servers that the copy lacks are written again. Objects stay.
-func (p *Platform) Restore(ver uint64) {
+func (p *Platform) Restore(ver uint64) { p.RestoreRows(ver)() }
+
+// RestoreRows is Restore, but the rows of the operator and the backend servers are written
+// again only when the returned function is called.
+func (p *Platform) RestoreRows(ver uint64) (writeAgain func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.restore(func(row *storedRow) bool { return row.Ver <= ver })
+	lost := p.restore(func(row *storedRow) bool { return row.Ver <= ver })
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.writeAgain(lost)
+	}
 }
 
 // RestoreAge is Restore with a copy of the given age.
@@ -44,11 +53,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	taken := time.Now().Add(-age)
-	p.restore(func(row *storedRow) bool { return !row.writtenAt.After(taken) })
+	p.writeAgain(p.restore(func(row *storedRow) bool { return !row.writtenAt.After(taken) }))
 }
 
-// restore keeps the first changes for which kept returns true. The caller holds p.mu.
-func (p *Platform) restore(kept func(*storedRow) bool) {
+// restore keeps the first changes for which kept returns true, and returns the others. The
+// caller holds p.mu.
+func (p *Platform) restore(kept func(*storedRow) bool) (lost []storedRow) {
 	all := p.log
 	n := 0
 	for n < len(all) && kept(&all[n]) {
@@ -63,12 +73,17 @@
 		}
 	}
 	p.era++
-	for _, row := range all[n:] {
+	p.wake()
+	return all[n:]
+}
+
+// writeAgain writes lost rows of the operator and the backend servers. The caller holds p.mu.
+func (p *Platform) writeAgain(lost []storedRow) {
+	for _, row := range lost {
 		if operatorTables[row.Table] {
 			p.apply(&transaction{Writes: []storedRow{row}})
 		}
 	}
-	p.wake()
 }
 
 func (p *Platform) postRestore(w http.ResponseWriter, r *http.Request) {
--- a/partition/holders.go
+++ b/partition/holders.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/dotterelseam/dotterelseam/balancer"
+	"github.com/dotterelseam/dotterelseam/internal/rendezvous"
 )
 
 // maxHolders is the number of nodes that share the rate limit of one workspace. With
@@ -51,7 +52,7 @@
 	}
 	list := make([]ranked, len(m.Nodes))
 	for i, n := range m.Nodes {
-		list[i] = ranked{rendezvousHash(workspace, n.Node), n}
+		list[i] = ranked{rendezvous.Hash(workspace, n.Node), n}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	for _, r := range list[:min(len(list), maxHolders)] {
@@ -63,18 +64,3 @@
 		h.others = append(h.others, r.node)
 	}
 }
-
-// rendezvousHash is the FNV-1a hash of both names with a final mix. Unlike the hash of
-// package maphash, it is the same on all nodes.
-func rendezvousHash(workspace, node string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	h := uint64(offset)
-	for _, s := range []string{workspace, "/", node} {
-		for i := range len(s) {
-			h = (h ^ uint64(s[i])) * prime
-		}
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
