distribution: a node that starts after a restore asks others for their configuration

What callers saw: a key that was withdrawn is accepted by a node that starts after the store came back from a copy from before the withdrawal, until the operator has written again or another node is asked, up to 2 s later.

Cause: the first configuration that the store has was put into force at once.

Change: in an era after the first one the configurations of up to four other nodes are applied first; the version of the store only if it is newer.

--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -175,6 +175,9 @@
 		}
 		f.setReachable(true, nil)
 		position = next
+		if f.Current() == nil && position.Era.IsLater() {
+			f.learnFromPeers(ctx) // the store may have lost a newer version
+		}
 		late := !synced && f.Current() != nil
 		synced = true
 		if raw != nil && f.Apply(raw, "store") && late {
--- a/distribution/peerclient.go
+++ b/distribution/peerclient.go
@@ -6,11 +6,13 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/dotterelseam/dotterelseam/internal/nodecall"
+	"github.com/dotterelseam/dotterelseam/internal/pause"
 )
 
 // Paths of Follower.Handler on the peers listener.
@@ -27,6 +29,11 @@
 	maxVersionBytes = 32
 	// versionCheckInterval is the minimum time between two requests by CheckForUpdate.
 	versionCheckInterval = time.Second
+	// askFanout is the number of other nodes that a node asks for their configuration if the
+	// store may have lost the newest one.
+	askFanout = 4
+	// peerPollInterval is the time between two checks whether another node is known.
+	peerPollInterval = 50 * time.Millisecond
 	// tellFanout is the number of other nodes that a node tells of a version that it has
 	// learnt late. They tell others in turn, so that all learn of it within moments.
 	tellFanout = 8
@@ -92,6 +99,34 @@
 	}
 }
 
+// learnFromPeers applies the newest configuration of some other nodes, if any. It waits up to
+// fetchTimeout for another node to be known, and as long for the answers.
+func (f *Follower) learnFromPeers(ctx context.Context) {
+	if f.peerClient == nil {
+		return
+	}
+	for end := time.Now().Add(fetchTimeout); f.peerClient.PickPeer() == "" && time.Now().Before(end); {
+		if !pause.For(ctx, peerPollInterval) {
+			return
+		}
+	}
+	var asking sync.WaitGroup
+	for range min(askFanout, f.peerClient.CountPeers()) {
+		address := f.peerClient.PickPeer()
+		asking.Go(func() {
+			callPeer(func(ctx context.Context) {
+				raw, err := f.peerClient.configuration(ctx, address)
+				if err != nil {
+					f.log.Info("configuration_not_fetched", "from", address, "error", err.Error())
+					return
+				}
+				f.Apply(raw, address)
+			})
+		})
+	}
+	asking.Wait()
+}
+
 // callPeer runs one call to another node with the time limit fetchTimeout.
 func callPeer(call func(ctx context.Context)) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -81,3 +81,39 @@
 		})
 	}
 }
+
+// Guards against a withdrawn key that a node accepts which starts after the store came back from
+// a copy with the configuration from before the withdrawal.
+func TestWithdrawnKeyOutlastsRestore(t *testing.T) {
+	f := newFleet(t)
+	a, b := f.host("shop-1", "shop"), f.host("shop-2", "shop")
+	f.configure(4, farm)
+	a.awaitServing("read.example")
+	awaitMembers(t, a, b)
+	copied := f.standIn.Ver()
+	f.configure(5, newcomer)
+	for _, h := range []*host{a, b} {
+		waitUntil(t, func() string {
+			if status := h.call("GET", "read.example", "k1").status; status != http.StatusUnauthorized {
+				return fmt.Sprintf("the withdrawn key gets %d", status)
+			}
+			return ""
+		})
+	}
+	a.stop()
+	operatorWritesAgain := f.standIn.RestoreRows(copied)
+	a.start()
+	a.announce("ready")
+	accepted := false
+	waitUntil(t, func() string {
+		status := a.call("GET", "read.example", "k1").status
+		accepted = accepted || status == http.StatusOK
+		if status != http.StatusUnauthorized {
+			return fmt.Sprintf("the withdrawn key gets %d", status)
+		}
+		return ""
+	})
+	assert.Assert(t, !accepted, "the withdrawn key is accepted")
+	operatorWritesAgain()
+	assert.Equal(t, a.call("GET", "read.example", "k1").status, http.StatusUnauthorized)
+}
