keys: withdrawals outlast a store that comes back from a copy

What callers saw: with the product's own nodes, a key that is withdrawn after the store came back from a copy stays accepted where its row is read with a revision that was given out before, and the withdrawals that the store has lost are not written again.

Cause: a poll reads the rows after the highest revision that it has seen, and believes the state of a row as last read.

Change: if the era has risen since the last poll, all rows are read anew and what was read before is forgotten, so withdrawals that are missing are queued as after an outage. A poll costs one call more, once after a restore.

TestWithdrawalOutlastsRestore: the key is not refused before, holds after.

--- a/keys/contact.go
+++ b/keys/contact.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelseam/dotterelseam/internal/pause"
 	"github.com/dotterelseam/dotterelseam/membership"
 	"github.com/dotterelseam/dotterelseam/peer"
+	"github.com/dotterelseam/dotterelseam/store"
 )
 
 const (
@@ -259,6 +260,9 @@
 	defer s.pollMu.Unlock()
 	start := s.cfg.Now()
 	rows, err := s.cfg.Table.List(ctx, RowPrefix, s.revision)
+	if err == nil && s.hasNewEra() {
+		rows, err = s.listAll(ctx)
+	}
 	if err != nil {
 		return Class.Wrap(err)
 	}
@@ -274,6 +278,22 @@
 	return nil
 }
 
+// listAll reads the key rows anew if the store has come back from a copy since the last poll:
+// rows that were read before may be gone or have other revisions. The caller holds s.pollMu.
+func (s *Store) listAll(ctx context.Context) ([]store.Row, error) {
+	s.revision = 0
+	clear(s.tableStates)
+	return s.cfg.Table.List(ctx, RowPrefix, 0)
+}
+
+// hasNewEra reports whether the store has come back from a copy since the last call. The
+// caller holds s.pollMu.
+func (s *Store) hasNewEra() bool {
+	before := s.era
+	s.era = s.cfg.Table.Era()
+	return before != 0 && s.era != before
+}
+
 // applyRow records the state in a key's row and publishes it as a gossip record. The
 // caller holds s.pollMu.
 func (s *Store) applyRow(id string, encoded []byte) {
--- a/keys/store.go
+++ b/keys/store.go
@@ -19,6 +19,7 @@
 	Get(ctx context.Context, key string) (store.Row, error)
 	List(ctx context.Context, prefix string, after uint64) ([]store.Row, error)
 	Put(ctx context.Context, key string, ifVersion uint64, value []byte) (uint64, error)
+	Era() store.Era
 }
 
 // Mesh is the subset of peer.Mesh that this package uses.
@@ -93,6 +94,7 @@
 
 	pollMu      sync.Mutex
 	revision    uint64           // highest table revision that was read
+	era         store.Era        // of the table, in which revision was read
 	tableStates map[string]State // last state read from the row of each key
 }
 
--- a/keys/withdraw_test.go
+++ b/keys/withdraw_test.go
@@ -138,3 +138,27 @@
 	f.gossip.Set(RowPrefix+"x", 1, []byte("garbage"))
 	assert.Equal(t, f.find("x"), (*entry)(nil))
 }
+
+// Guards against a withdrawal that is lost with the rows that the store has written since a copy
+// of itself, and against one of another node whose row has a revision that was given out before.
+func TestWithdrawalOutlastsRestore(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	lostKey, lost, err := (&Operator{Table: f.client}).Grant(ctx, "farm")
+	assert.NilError(t, err)
+	laterKey, later, err := (&Operator{Table: f.client}).Grant(ctx, "farm")
+	assert.NilError(t, err)
+	copied := f.platform.Ver()
+	assert.NilError(t, writeWithdrawal(ctx, f.client, lost, value{State: Withdrawn}))
+	f.load(t)
+	assert.Equal(t, f.reason(lostKey), refusal.WithdrawnKey)
+	assert.Equal(t, f.reason(laterKey), refusal.Reason(""))
+
+	f.platform.Restore(copied)
+	assert.NilError(t, writeWithdrawal(ctx, f.client, later, value{State: Withdrawn}))
+	assert.NilError(t, f.poll(ctx))
+	assert.Equal(t, f.reason(laterKey), refusal.WithdrawnKey)
+	assert.Equal(t, f.reason(lostKey), refusal.WithdrawnKey)
+	_, ids := f.pending.list()
+	assert.DeepEqual(t, ids, []string{lost})
+}
