soak: the store comes back from a copy

Fresh seeds draw one to three restores on top of the other faults: the store is away for up to 1 s and comes back from a copy of up to 5 s. -soak.restores turns them off.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,9 +16,12 @@
 	minFaults, maxFaults               = 6, 12
 	minPlanned, maxPlanned             = 2, 5 // additional planned operations with Options.PlannedWork
 	minSignals, maxSignals             = 2, 4 // additional signals of backend servers with Options.Signals
+	minRestores, maxRestores           = 1, 3 // restores of the store with Options.Restores
 	minFaultDuration, maxFaultDuration = 300 * time.Millisecond, 5 * time.Second
 	massFaultFraction                  = 0.6 // of all hosts
 	maxDelay                           = 150 * time.Millisecond
+	maxRestoreTime                     = time.Second     // for which the store is away
+	maxCopyAge                         = 5 * time.Second // of the copy that it comes back from
 )
 
 // Injection is one fault, or one planned operation, of a schedule.
@@ -56,6 +59,9 @@
 	if o.Signals {
 		out = append(out, drawInjections(rand.New(rand.NewPCG(o.Seed, 3)), signalKinds, minSignals, maxSignals, period)...)
 	}
+	if o.Restores {
+		out = append(out, drawInjections(rand.New(rand.NewPCG(o.Seed, 4)), restoreKinds, minRestores, maxRestores, period)...)
+	}
 	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
@@ -97,7 +103,7 @@
 
 // inject runs one injection and returns when it is over.
 func (s *soakRun) inject(i *Injection) {
-	kinds := slices.Concat(faultKinds, signalKinds)
+	kinds := slices.Concat(faultKinds, signalKinds, restoreKinds)
 	k := &kinds[slices.IndexFunc(kinds, func(k faultKind) bool { return k.name == i.Kind })]
 	hosts := make([]*host, len(i.Hosts))
 	for n, index := range i.Hosts {
@@ -227,6 +233,18 @@
 	serverFault("server_sheds", func(a float64) standin.SidecarBackendBehaviour { return standin.SidecarBackendBehaviour{Shed: a} }),
 }
 
+// restoreKinds are the kinds with which the store loses what it has acknowledged.
+var restoreKinds = []faultKind{
+	{name: "store_restore", begin: func(f *fleet, i *Injection, _ []*host) func() {
+		i.Duration = min(i.Duration, maxRestoreTime)
+		f.store.SetFaults(standin.PlatformFaults{Away: true})
+		return func() {
+			f.store.RestoreAge(time.Duration(i.Amount * float64(maxCopyAge)))
+			f.store.SetFaults(standin.PlatformFaults{})
+		}
+	}},
+}
+
 // kill kills node processes and restarts them when the fault ends.
 func kill(_ *fleet, _ *Injection, hosts []*host) func() {
 	return beginAtEach(hosts, func(h *host) func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,7 @@
 	Seed        uint64
 	PlannedWork bool   // add planned stops, drains and configuration versions to the faults
 	Signals     bool   // add backend servers that name limits, or leaving, in their responses
+	Restores    bool   // let the store come back from a copy some seconds old
 	Dir         string // directory for settings files
 	// MaxPause is the longest pause of a caller before a request; default 150 ms. Shorter
 	// pauses press the limits of workspaces harder.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,7 @@
 	seeds    = flag.Int("soak.seeds", 0, "number of seeds to run instead of the regression cases")
 	signals  = flag.Bool("soak.signals", true, "add backend servers that name limits, or leaving, in their responses")
 	planned  = flag.Bool("soak.planned", true, "add planned operations to the faults of these seeds")
+	restores = flag.Bool("soak.restores", true, "let the store come back from a copy in these seeds")
 	first    = flag.Uint64("soak.first", 0, "first of these seeds; 0 derives it from the time")
 	maxPause = flag.Duration("soak.pause", 0, "longest pause of a caller before a request; 0 means the default")
 	parallel = flag.Int("soak.parallel", 2, "number of concurrent runs")
@@ -31,6 +32,7 @@
 }{
 	{Options{Seed: 1, PlannedWork: true}, "no known failure"},
 	{Options{Seed: 2, PlannedWork: true, Signals: true}, "no known failure"},
+	{Options{Seed: 3, PlannedWork: true, Restores: true}, "no known failure"},
 	{Options{Seed: 1796436393158242033, PlannedWork: true, Signals: true}, "a SIGHUP ended a process that was starting"},
 	{Options{Seed: 104}, "a node kept an old configuration while its connection to the store was blackholed"},
 	{Options{Seed: 105}, "restarted nodes that the store rejected took the whole rate limit of each workspace"},
@@ -61,7 +63,7 @@
 		start = uint64(time.Now().UnixNano())
 	}
 	for n := range *seeds {
-		list = append(list, Options{Seed: start + uint64(n), PlannedWork: *planned, Signals: *signals, MaxPause: *maxPause})
+		list = append(list, Options{Seed: start + uint64(n), PlannedWork: *planned, Signals: *signals, Restores: *restores, MaxPause: *maxPause})
 	}
 	slots := make(chan struct{}, *parallel)
 	for _, o := range list {
