directory: a departure is told to all nodes in charge, also after the first answers

Cause: the requests that were still in progress ended when two nodes had answered, so two of the four were often not told. Found in the reading of the diff. Each request now has a time limit of its own.

--- a/directory/consult.go
+++ b/directory/consult.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"net/http"
@@ -39,14 +40,9 @@
 // nodesInCharge returns the peers addresses of up to n other nodes that remember the departures
 // of this node.
 func (d *Directory) nodesInCharge(n int) []string {
-	_, members := d.knownMembers()
-	others := slices.DeleteFunc(slices.Clone(members), func(e balancer.Endpoint) bool { return e.Node == d.cfg.Node })
-	slices.SortFunc(others, func(a, b balancer.Endpoint) int {
-		if rendezvous.Hash(d.cfg.Node, a.Node) > rendezvous.Hash(d.cfg.Node, b.Node) {
-			return -1
-		}
-		return 1
-	})
+	others := slices.DeleteFunc(slices.Clone(d.knownMembers()), func(e balancer.Endpoint) bool { return e.Node == d.cfg.Node })
+	rank := func(e balancer.Endpoint) uint64 { return rendezvous.Hash(d.cfg.Node, e.Node) }
+	slices.SortFunc(others, func(a, b balancer.Endpoint) int { return cmp.Compare(rank(b), rank(a)) })
 	var addresses []string
 	for _, e := range others[:min(n, len(others))] {
 		addresses = append(addresses, e.PeerAddress)
@@ -57,22 +53,17 @@
 // tell tells other nodes of the departures on this host, and returns when enough of them have
 // answered, or all, or after tellTimeout. It returns how many have. The store has the departures
 // too, so it is no error if nobody answers.
-func (d *Directory) tell(ctx context.Context, departures edge.Departures) (told int) {
+func (d *Directory) tell(departures edge.Departures) (told int) {
 	raw, err := cbor.Marshal(departures)
 	if err != nil {
 		d.cfg.Log.Error(err, "departures_not_encoded")
 		return 0
 	}
 	query := url.Values{nodeParameter: {d.cfg.Node}, departuresParameter: {base64.RawURLEncoding.EncodeToString(raw)}}
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
 	addresses := d.nodesInCharge(toldNodes)
 	answered := make(chan bool, len(addresses))
 	for _, address := range addresses {
-		go func() {
-			_, err := nodecall.Do(ctx, d.cfg.Client, http.MethodPost, address, EndpointsPath+"?"+query.Encode(), 0)
-			answered <- err == nil
-		}()
+		go func() { answered <- d.tellNode(address, query) }()
 	}
 	for range addresses {
 		if <-answered {
@@ -86,6 +77,15 @@
 	return told
 }
 
+// tellNode reports whether the node at address has answered within tellTimeout. The request does
+// not end with the call of the backend server that leaves.
+func (d *Directory) tellNode(address string, query url.Values) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	_, err := nodecall.Do(ctx, d.cfg.Client, http.MethodPost, address, EndpointsPath+"?"+query.Encode(), 0)
+	return err == nil
+}
+
 // serveTold handles the request of tell.
 func (d *Directory) serveTold(w http.ResponseWriter, r *http.Request) {
 	node := r.URL.Query().Get(nodeParameter)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -65,7 +65,8 @@
 // New returns an empty Directory; Run fills it and keeps it up to date.
 func New(cfg Config) *Directory {
 	return &Directory{
-		cfg: cfg, view: fleetview.New(cfg.Node, cfg.Log), byService: map[string][]balancer.Endpoint{}, recovering: make(chan struct{}, 1), consultRequested: make(chan struct{}, 1),
+		cfg: cfg, view: fleetview.New(cfg.Node, cfg.Log), byService: map[string][]balancer.Endpoint{},
+		recovering: make(chan struct{}, 1), consultRequested: make(chan struct{}, 1),
 		ownChanged: make(chan struct{}, 1), ownStored: make(chan struct{}), ownRead: make(chan struct{}),
 		storeReachable: true, fetchRequested: make(chan struct{}, 1),
 	}
@@ -100,11 +101,11 @@
 	return d.version, d.members
 }
 
-// knownMembers is Members also before all rows were read.
-func (d *Directory) knownMembers() (version uint64, nodes []balancer.Endpoint) {
+// knownMembers returns what Members returns once all rows were read.
+func (d *Directory) knownMembers() []balancer.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.version, d.members
+	return d.members
 }
 
 // Resync interrupts a waiting call to the store, so that all rows are read again on
--- a/directory/remember.go
+++ b/directory/remember.go
@@ -40,7 +40,7 @@
 	d.mu.Lock()
 	wanted, written := d.changes, d.own != nil
 	d.mu.Unlock()
-	told := d.tellOnce(ctx)
+	told := d.tellOnce()
 	for written {
 		d.mu.Lock()
 		done, stored := d.stored >= wanted, d.ownStored
@@ -61,7 +61,7 @@
 
 // tellOnce tells other nodes of the departures unless one knows them already, and closes the
 // returned channel at the end.
-func (d *Directory) tellOnce(ctx context.Context) <-chan struct{} {
+func (d *Directory) tellOnce() <-chan struct{} {
 	d.mu.Lock()
 	departures := d.departures
 	needed := d.cfg.Client != nil && !departures.Equal(d.told)
@@ -73,7 +73,7 @@
 	}
 	go func() {
 		defer close(done)
-		if d.tell(ctx, departures) == 0 {
+		if d.tell(departures) == 0 {
 			return
 		}
 		d.mu.Lock()
--- a/internal/fleetview/known.go
+++ b/internal/fleetview/known.go
@@ -11,10 +11,10 @@
 // Known is what a node tells one that has started after the store came back from a copy.
 type Known struct {
 	Since      store.Era                  `cbor:"1,keyasint"`           // era in which the node first read all rows, 0 if it never has
-	ReadFor    time.Duration              `cbor:"5,keyasint,omitempty"` // how long ago that was
-	Rows       []store.Row                `cbor:"2,keyasint"`
-	Lost       []string                   `cbor:"3,keyasint,omitempty"` // nodes whose rows the store has lost
-	Departures map[string]edge.Departures `cbor:"4,keyasint,omitempty"` // by node, also of nodes without a row
+	ReadFor    time.Duration              `cbor:"2,keyasint"`           // how long ago that was
+	Rows       []store.Row                `cbor:"3,keyasint"`           // as StoredRows returns them
+	Lost       []string                   `cbor:"4,keyasint,omitempty"` // nodes whose rows the store has lost
+	Departures map[string]edge.Departures `cbor:"5,keyasint,omitempty"` // by node, also of nodes without a row
 }
 
 // maxAnnouncementDelay is how late an announcement of a backend server may arrive.
