--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -244,3 +244,25 @@
 	leaving.born++
 	leaving.requireUsed()
 }
+
+// Guards against new requests to a draining backend server, and against one that is
+// used again after a late announcement.
+func TestDrain(t *testing.T) {
+	f := newFleet(t)
+	leaving, staying, entry := f.host("shop-1", "shop"), f.host("shop-2", "shop"), f.host("other-1", "other")
+	f.configure(4, farm)
+	entry.awaitServing("read.example")
+	leaving.awaitServing("read.example")
+	leaving.awaitEndpoints("shop", 2)
+	entry.awaitEndpoints("shop", 2)
+	leaving.announce("draining")
+	before := len(leaving.requests())
+	leaving.sequence.Store(0)
+	leaving.announce("ready") // with a sequence number that was used before
+	for range 20 {
+		assert.Equal(t, entry.call("GET", "read.example", "k1").body, "shop-2GET/x")
+		assert.Equal(t, leaving.call("GET", "read.example", "k1").body, "shop-2GET/x")
+	}
+	assert.Equal(t, len(leaving.requests()), before)
+	assert.Assert(t, len(staying.requests()) >= 40)
+}
