--- a/node/uploadtries_test.go
+++ b/node/uploadtries_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -81,12 +82,19 @@
 
 // newStreamedBody returns the body of a request whose length is unknown.
 func newStreamedBody(t *testing.T, content []byte) *requestBody {
-	r := httptest.NewRequest(http.MethodPost, "/", struct{ io.Reader }{bytes.NewReader(content)})
-	body, refused := newRequestBody(httptest.NewRecorder(), r, -1, 1<<20, time.Minute, time.Now().Add(time.Minute))
+	return newBodyFrom(t, bytes.NewReader(content), -1)
+}
+
+// newBodyFrom returns the body of a request with a declared length, or -1, that is read from r.
+func newBodyFrom(t *testing.T, r io.Reader, declared int64) *requestBody {
+	req := httptest.NewRequest(http.MethodPost, "/", struct{ io.Reader }{r})
+	body, refused := newRequestBody(httptest.NewRecorder(), req, declared, maxUpload, time.Minute, time.Now().Add(time.Minute))
 	assert.Assert(t, refused == nil)
 	return body
 }
 
+const maxUpload = 1 << 20 // bytes
+
 // Guards against an upload that a server takes for whole although its first part went to an
 // earlier try: that try had ended before the goroutine that writes its body read any of it.
 func TestRetriedUploadIsWhole(t *testing.T) {
@@ -156,6 +164,34 @@
 	assert.ErrorIs(t, err, errBodyClosed)
 }
 
+// Guards against an upload that a server takes for whole although its sender has not sent all of
+// it, or more than is allowed.
+func TestBrokenUploadIsSeenBroken(t *testing.T) {
+	const sent = maxReplayBody + 10_000
+	content := make([]byte, sent)
+	broken := io.MultiReader(bytes.NewReader(content), iotest.ErrReader(io.ErrUnexpectedEOF))
+	for name, body := range map[string]*requestBody{
+		"sender breaks":           newBodyFrom(t, broken, -1),
+		"shorter than declared":   newBodyFrom(t, bytes.NewReader(content), sent+1),
+		"longer than declared":    newBodyFrom(t, bytes.NewReader(content), sent-1),
+		"longer than the maximum": newStreamedBody(t, make([]byte, maxUpload+1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := newHastyConn("HTTP/1.1 200 OK\r\n\r\n")
+			p := newConnPool(nil, 0, time.Minute, 1, 0)
+			p.dialFunc = func(context.Context, string) (net.Conn, error) { return conn, nil }
+			resp, _, err := p.roundTrip(t.Context(), &outboundRequest{method: http.MethodPost, address: "server", host: "h", url: &url.URL{Path: "/"}, body: body})
+			assert.NilError(t, err)
+			_, err = io.ReadAll(resp.Body) // until the connection is closed
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			got, err := conn.upload()
+			assert.Assert(t, err != nil, "the server takes %d bytes for the whole upload", len(got))
+			assert.Assert(t, body.senderRefusal() != nil)
+		})
+	}
+}
+
 // refusingConn plays a server that answers at once and takes no request.
 type refusingConn struct{ *hastyConn }
 
