--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -46,11 +46,16 @@
 func (f *fleet) start(node string) *directory.Directory {
 	f.t.Helper()
 	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard(), Client: http.DefaultClient})
+	f.t.Cleanup(run(d))
+	return d
+}
+
+// run runs a directory until the returned function is called, which may be called twice.
+func run(d *directory.Directory) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Run(ctx) }()
-	f.t.Cleanup(func() { cancel(); <-done })
-	return d
+	return func() { cancel(); <-done }
 }
 
 func endpoint(node string, state balancer.State) *balancer.Endpoint {
@@ -238,14 +243,11 @@
 func (f *fleet) storeDepartures(node string) {
 	f.t.Helper()
 	d := directory.New(directory.Config{Node: node, Table: f.table(), Log: logr.Discard()})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); d.Run(ctx) }()
+	stop := run(d)
 	d.Remember(departed)
 	d.Announce(endpoint(node, balancer.Serving))
-	assert.NilError(f.t, d.Flush(ctx))
-	cancel()
-	<-done
+	assert.NilError(f.t, d.Flush(context.Background()))
+	stop()
 }
 
 // newPeer returns the peers address of a node that serves h.
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -107,15 +107,12 @@
 	copied := f.standIn.Ver()
 	// The directory of b does not run after it has written its row, so it is not written again.
 	b := directory.New(directory.Config{Node: "b", Table: f.table(), Log: logr.Discard(), Client: http.DefaultClient})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); b.Run(ctx) }()
+	stop := run(b)
 	e := endpoint("b", balancer.Serving)
 	e.PeerAddress = newPeer(t, b.Handler())
 	b.Announce(e)
 	awaitStates(t, a, serving("a", "b"))
-	cancel()
-	<-done
+	stop()
 	f.standIn.Restore(copied)
 	f.awaitStored("a")
 	c := f.start("c")
@@ -186,9 +183,8 @@
 func TestDepartureAfterUnnoticedRestore(t *testing.T) {
 	f := newFleet(t)
 	c := directory.New(directory.Config{Node: "c", Table: f.table(), Log: logr.Discard()})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); c.Run(ctx) }()
+	stop := run(c)
+	ctx := context.Background()
 	c.Announce(endpoint("c", balancer.Serving))
 	assert.NilError(t, c.Flush(ctx))
 	copied := f.standIn.Ver()
@@ -200,8 +196,7 @@
 	both.Others = []edge.Departure{{Instance: "i2", Withdrawn: true, Received: 9}}
 	c.Remember(both)
 	assert.NilError(t, c.Flush(ctx))
-	cancel()
-	<-done
+	stop()
 	got, err := f.start("c").Recall(context.Background())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, both)
--- a/internal/sidecar/answers_test.go
+++ b/internal/sidecar/answers_test.go
@@ -51,6 +51,12 @@
 // seal adds the signature of a server to an answer.
 func seal(w http.ResponseWriter) { w.Header().Set("X-Server-Seal", "seal") }
 
+// refuseAsNotRun sends a refusal which says that the request did not run.
+func refuseAsNotRun(w http.ResponseWriter) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // requestHead returns the header of a POST with a body of the given length.
 func requestHead(hostName string, timeout time.Duration, length int) string {
 	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n",
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -131,3 +131,39 @@
 	}
 	calls.Wait()
 }
+
+// Guards against requests that are lost when a node is stopped, and against a node
+// that reports ready while it stops.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t)
+	shop := f.host("shop-1", "shop")
+	f.configure(4, farm)
+	shop.awaitServing("read.example")
+	release := make(chan struct{})
+	shop.setResponse(func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		seal(w)
+		_, _ = io.WriteString(w, "late")
+	})
+	got := make(chan result, 1)
+	go func() { got <- shop.call("POST", "order.example", "k1") }()
+	waitUntil(t, func() string {
+		if n := len(shop.requests()); n < 2 {
+			return "the request has not arrived"
+		}
+		return ""
+	})
+	stopped := make(chan error, 1)
+	go func() { stopped <- shop.sidecar.Stop(context.Background()) }()
+	waitUntil(t, func() string {
+		if shop.sidecar.node.Serving() {
+			return "the node still counts as ready"
+		}
+		return ""
+	})
+	close(release)
+	a := <-got
+	assert.Equal(t, a.status, 200)
+	assert.Equal(t, a.body, "late")
+	assert.NilError(t, <-stopped)
+}
