directory: a node without others does not ask for ever what was acknowledged

A node that restarts after a restore and finds no other node that remembers asked every 0.5 s, with a line of log each time, until it was restarted.

Cause: only what other nodes remember ended the search. No announcement from before its own start arrives later than 10 s.

Change: what the process itself has read counts as an answer by the same rule as that of other nodes, so the search ends 10 s after its first read. The enumeration of departures has it too.

TestRecallEndsWithoutOtherNodes: "context deadline exceeded" after 20 s before, holds after.

--- a/directory/consult.go
+++ b/directory/consult.go
@@ -139,18 +139,20 @@
 	}
 }
 
-// consult asks other nodes once. All rows count as read after that.
+// consult asks other nodes once. All rows count as read after that. What this process has read
+// itself counts as an answer too, if that was long enough ago.
 func (d *Directory) consult(ctx context.Context) {
 	answers := d.askNodes(ctx)
 	d.update(func(v *fleetview.View) {
 		for i := range answers {
 			v.ApplyKnown(&answers[i])
 		}
+		answers = append(answers, v.Known(time.Now()))
 		d.loaded = true
 	})
 	remembering := 0
 	d.noteOwn(func(r *fleetview.Recall) { remembering = r.NoteAnswers(answers, d.cfg.Node) })
-	d.cfg.Log.Info("nodes_consulted", "era", uint64(d.cfg.Table.Era()), "answers", len(answers), "remembering", remembering)
+	d.cfg.Log.Info("nodes_consulted", "era", uint64(d.cfg.Table.Era()), "answers", len(answers)-1, "remembering", remembering)
 }
 
 // askNodes returns what the other nodes that answer within fetchTimeout know.
--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -235,3 +235,16 @@
 	_, writes := f.standIn.Calls()
 	assert.Equal(t, int(writes), 1)
 }
+
+// Guards against a node without any other that asks for ever what earlier processes have stored,
+// although no announcement from before its start can arrive any more.
+func TestRecallEndsWithoutOtherNodes(t *testing.T) {
+	f := newFleet(t)
+	f.storeDepartures("c")
+	f.standIn.Restore(f.standIn.Ver())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	got, err := f.start("c").Recall(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, departed)
+}
--- a/node/departure_orders_test.go
+++ b/node/departure_orders_test.go
@@ -71,7 +71,7 @@
 	era                      store.Era
 	written                  store.Era // in which this process of the node has last read or written its row
 	recall                   fleetview.Recall
-	other                    *fleetview.View // of the other node
+	own, other               *fleetview.View // of this process of the node, and of the other node
 
 	started      int64 // of the server
 	sequence     uint64
@@ -141,20 +141,30 @@
 	if m.written != 0 && m.written < m.era {
 		m.writeRow()
 	}
-	m.recall.NoteStored(m.stored, m.era)
-	if !m.recall.Complete() {
-		m.recall.NoteAnswers([]fleetview.Known{m.other.Known(m.now)}, "n1")
-	}
+	m.own.ApplySnapshot(m.snapshot(), m.now)
+	m.noteAll(&m.recall)
 	if m.recall.Complete() {
 		m.node.recall(context.Background())
 	}
 }
 
+// noteAll records what the store and both nodes say.
+func (m *orderModel) noteAll(recall *fleetview.Recall) {
+	recall.NoteStored(m.stored, m.era)
+	if !recall.Complete() {
+		recall.NoteAnswers([]fleetview.Known{m.other.Known(m.now), m.own.Known(m.now)}, "n1")
+	}
+}
+
 // readStoreElsewhere lets the other node read all rows.
 func (m *orderModel) readStoreElsewhere() {
-	if m.away {
-		return
+	if !m.away {
+		m.other.ApplySnapshot(m.snapshot(), m.now)
 	}
+}
+
+// snapshot returns all rows of the store.
+func (m *orderModel) snapshot() store.Changes {
 	snapshot := store.Changes{Position: store.Position{Era: m.era, Revision: m.revision}}
 	if m.stored != nil {
 		value, err := cbor.Marshal(m.stored)
@@ -163,7 +173,7 @@
 		}
 		snapshot.Rows = []store.Row{{Key: fleetview.RowPrefix + "n1", Revision: m.revision, Era: m.era, Value: value}}
 	}
-	m.other.ApplySnapshot(snapshot, m.now)
+	return snapshot
 }
 
 // Endpoints, Watch and Announce implement Directory.
@@ -174,6 +184,7 @@
 // restart ends the process of the node and starts the next one.
 func (m *orderModel) restart() {
 	m.kept, m.recall, m.written = edge.Departures{}, fleetview.Recall{}, 0
+	m.own = fleetview.New("n1", logr.Discard())
 	n := &Node{store: m, log: newEventLog(logr.Discard(), func() time.Time { return m.now })}
 	n.cfg = Config{Directory: m, Clock: func() time.Time { return m.now }, AnnouncementLifetime: time.Hour}
 	n.recalled.done = make(chan struct{})
@@ -263,8 +274,7 @@
 // opensWithStore reports whether the node applies announcements as soon as the store is back.
 func (m *orderModel) opensWithStore() bool {
 	recall := m.recall
-	recall.NoteStored(m.stored, m.era)
-	recall.NoteAnswers([]fleetview.Known{m.other.Known(m.now)}, "n1")
+	m.noteAll(&recall)
 	return recall.Complete()
 }
 
