--- a/directory/restore_test.go
+++ b/directory/restore_test.go
@@ -54,7 +54,7 @@
 
 // Guards against a second restore that finds the nodes before they have recovered from the
 // first one, or after it.
-func TestTwoRestoresInARow(t *testing.T) {
+func TestRowsOutlastTwoRestores(t *testing.T) {
 	for name, recovered := range map[string]bool{"recovered": true, "not recovered": false} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
@@ -78,7 +78,7 @@
 
 // Guards against a node that starts during a restore and does not learn of nodes whose rows were
 // lost, or whose own row stays lost.
-func TestRestoreDuringStart(t *testing.T) {
+func TestNodeStartedDuringRestoreIsKnown(t *testing.T) {
 	f := newFleet(t)
 	a, b := f.startMember("a"), f.startMember("b")
 	awaitStates(t, a, serving("a", "b"))
@@ -180,7 +180,7 @@
 
 // Guards against a departure that counts as stored because it was written over the row of a
 // copy, without what the store has lost.
-func TestDepartureAfterUnnoticedRestore(t *testing.T) {
+func TestDepartureOutlastsUnnoticedRestore(t *testing.T) {
 	f := newFleet(t)
 	c := directory.New(directory.Config{Node: "c", Table: f.table(), Log: logr.Discard()})
 	stop := run(c)
@@ -203,7 +203,7 @@
 }
 
 // Guards against bad input of another node that counts as departures or takes a node down.
-func TestBadDepartures(t *testing.T) {
+func TestMalformedDeparturesAreRefused(t *testing.T) {
 	f := newFleet(t)
 	handler := f.start("a").Handler()
 	for _, query := range []string{"", "node=b", "node=b&departures=*", "node=b&departures=gA", "departures=oA", "node=b&departures=" + strings.Repeat("g", 5000)} {
--- a/edge/announcement.go
+++ b/edge/announcement.go
@@ -26,6 +26,10 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
+// MaxAnnouncementDelay is longer than an announcement may take from the backend server to the
+// node.
+const MaxAnnouncementDelay = 10 * time.Second
+
 // States maps the state names of announcements to the states of endpoints. It must not
 // be modified.
 var States = map[string]balancer.State{
--- a/internal/fleetview/known.go
+++ b/internal/fleetview/known.go
@@ -17,14 +17,11 @@
 	Departures map[string]edge.Departures `cbor:"5,keyasint,omitempty"` // by node, also of nodes without a row
 }
 
-// maxAnnouncementDelay is how late an announcement of a backend server may arrive.
-const maxAnnouncementDelay = 10 * time.Second
-
 // Remembers reports whether k contains all that a node may have acknowledged whose row was
 // written in an era, 0 if there is none: from that era on, or for so long that no earlier
 // announcement arrives any more.
 func (k *Known) Remembers(era store.Era) bool {
-	return k.Since != 0 && (k.Since <= era || k.ReadFor > maxAnnouncementDelay)
+	return k.Since != 0 && (k.Since <= era || k.ReadFor > edge.MaxAnnouncementDelay)
 }
 
 // Known returns what this node can tell others.
--- a/node/config.go
+++ b/node/config.go
@@ -35,8 +35,8 @@
 	// DefaultShutdownDelay lets the other nodes learn of a planned stop before the
 	// servers shut down.
 	DefaultShutdownDelay = 500 * time.Millisecond
-	// DefaultRecallTimeout is longer than an announcement may be delayed.
-	DefaultRecallTimeout = 10 * time.Second
+	// After DefaultRecallTimeout no announcement from before the start of the node arrives.
+	DefaultRecallTimeout = edge.MaxAnnouncementDelay
 	// DefaultMaxRequests is several times the number of connections of one backend
 	// server. Each request uses at most about 100 KB, so it also bounds memory.
 	DefaultMaxRequests = 2048
--- a/node/departure_orders_test.go
+++ b/node/departure_orders_test.go
@@ -54,9 +54,6 @@
 // stepsWithoutRestores are the first steps, in which the store loses nothing.
 const stepsWithoutRestores = 10
 
-// maxLateness is how late an announcement may arrive.
-const maxLateness = 10 * time.Second
-
 // orderModel is one backend server with a node whose decisions are those of the product. The
 // store has the row of the node, and loses what was written since a copy in a restore. Another
 // node reads it, and is told of departures.
@@ -234,7 +231,7 @@
 	}
 	a := m.late[0]
 	m.late = m.late[1:]
-	if m.era.IsLater() && m.now.Sub(a.sent) > maxLateness {
+	if m.era.IsLater() && m.now.Sub(a.sent) > edge.MaxAnnouncementDelay {
 		return // that a restore was so long ago is a reason to apply announcements
 	}
 	_ = m.node.Announce(canceledContext(), a.Announcement) // nobody waits for the answer
--- a/node/uploadtries_test.go
+++ b/node/uploadtries_test.go
@@ -133,7 +133,7 @@
 
 // Guards against a read by a try that has ended, against a retry that is lost although nothing
 // was read, and against one that would send what an earlier try has left of the body.
-func TestBodyOfEndedTry(t *testing.T) {
+func TestEndedTryReadsNoBody(t *testing.T) {
 	content := bytes.Repeat([]byte("x"), maxReplayBody+1)
 	body := newStreamedBody(t, content)
 	first, err := body.openStream()
@@ -156,7 +156,7 @@
 }
 
 // Guards against a try that sends a body while another one still does.
-func TestOneTrySendsBody(t *testing.T) {
+func TestBodyIsSentByOneTryAtATime(t *testing.T) {
 	body := newStreamedBody(t, make([]byte, maxReplayBody+1))
 	_, err := body.openStream()
 	assert.NilError(t, err)
