--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -122,14 +122,17 @@
 		return
 	}
 	position := store.Position{Era: eraOfWrite(read.Era, row.Era), Revision: row.Revision}
-	newer := position.Compare(known.position) >= 0
+	order := position.Compare(known.position)
+	newer := order >= 0
 	v.NoteDepartures(node, read.Departures())
 	if newer {
 		known.position, known.lost = position, false
 	}
 	if newer && (node != v.self || v.own == nil) {
 		known.Row = read
-		v.log.Info("endpoint_known", "node", node, "service", read.Service, "state", int(read.State), "revision", row.Revision)
+		if order > 0 {
+			v.log.Info("endpoint_known", "node", node, "service", read.Service, "state", int(read.State), "revision", row.Revision)
+		}
 	}
 	if exists || newer {
 		v.rows[node] = known
